Lay out the build, the kernel and the interfaces between subsystems

Cause: parts are to grow side by side without touching each other's files. Change: CMake object library, scripts for packages, build, test, format, lint and layer check, the kernel (loop, clock, random, registry, error table, hybrid clock), and the interfaces of HTTP, frames, store, configuration, placement, admission, claims. Conclusion: a base for the subsystems; nothing is routed yet.

--- /dev/null
+++ b/src/http/event_loop.cpp
@@ -0,0 +1,59 @@
+// Runs h2o's event loop, due timers and termination signals.
+#include "http/event_loop.hpp"
+
+#include <algorithm>
+#include <csignal>
+
+namespace samphirespool::http {
+
+namespace {
+
+// Bounds how long a signal that arrives just before the wait goes unnoticed.
+constexpr std::int32_t max_wait_ms = 50;
+
+volatile std::sig_atomic_t terminate_requested = 0;
+
+void note_signal(int) {
+    terminate_requested = 1;
+}
+
+std::int32_t wait_until(helpers::time_point due, helpers::time_point now) {
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(due - now).count();
+    return static_cast<std::int32_t>(std::clamp<std::int64_t>(wait, 0, max_wait_ms));
+}
+
+} // namespace
+
+event_loop::event_loop() : h2o(h2o_evloop_create()) {
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGTERM, note_signal);
+    std::signal(SIGINT, note_signal);
+}
+
+// h2o 2.2 offers no way to free a loop; a process has one and ends with it.
+event_loop::~event_loop() = default;
+
+kernel::timer_id event_loop::schedule(helpers::duration delay, kernel::task work) {
+    return this->timers.add(this->time_source.now() + delay, std::move(work));
+}
+
+void event_loop::run() {
+    while (!this->stopping)
+        this->run_once();
+}
+
+void event_loop::run_once() {
+    auto wait = max_wait_ms;
+    if (!this->timers.empty())
+        wait = wait_until(this->timers.next_due(), this->time_source.now());
+    h2o_evloop_run(this->h2o, wait);
+    if (!this->timers.empty())
+        this->timers.run_due(this->time_source.now());
+    if (terminate_requested == 0)
+        return;
+    terminate_requested = 0;
+    if (this->terminate_task)
+        this->terminate_task();
+}
+
+} // namespace samphirespool::http
--- /dev/null
+++ b/src/http/message.hpp
@@ -0,0 +1,38 @@
+// HTTP messages as values: header fields, and a request for the client.
+#pragma once
+
+#include "helpers/endpoint.hpp"
+#include "helpers/time.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace samphirespool::http {
+
+struct header_field {
+    // Lower case.
+    std::string name;
+    std::string value;
+};
+
+using header_list = std::vector<header_field>;
+
+// Compares names without regard to case. Returns the first match.
+std::optional<std::string_view> find_header(const header_list& headers, std::string_view name);
+
+struct client_request {
+    helpers::endpoint to;
+    std::string method = "GET";
+    // Path with query.
+    std::string path = "/";
+    header_list headers;
+    std::string body;
+    // From the call to the head of the answer; zero means the client's default.
+    helpers::duration first_byte_timeout{};
+    // Longest silence within the answer's body; zero means the client's default.
+    helpers::duration idle_timeout{};
+};
+
+} // namespace samphirespool::http
--- /dev/null
+++ b/src/kernel/error.hpp
@@ -0,0 +1,69 @@
+// The closed list of error kinds, and the table from a kind to the answer that a caller gets.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace samphirespool::kernel {
+
+enum class error_kind : std::uint8_t {
+    bad_request,
+    unauthorized,
+    forbidden,
+    not_found,
+    conflict,
+    payload_too_large,
+    header_too_large,
+    request_timeout,
+    unknown_service,
+    no_target,
+    deadline_exceeded,
+    organisation_limit,
+    queue_full,
+    store_unavailable,
+    claim_unavailable,
+    claim_in_progress,
+    claim_expired,
+    already_executed,
+    target_unreachable,
+    target_failed,
+    answer_truncated,
+    retry_budget_spent,
+    shutting_down,
+    not_ready,
+    invalid_settings,
+    invalid_configuration,
+    malformed_frame,
+    internal,
+    count,
+};
+
+// What a caller may conclude about its request.
+enum class request_outcome : std::uint8_t {
+    answered,
+    not_run,
+    unknown,
+};
+
+// Invariant: outcome is what the kind allows at most. A request that was sent to a target reports
+// `unknown` whatever its kind says; see request/.
+struct error_answer {
+    error_kind kind;
+    std::string_view code;
+    int http_status;
+    request_outcome outcome;
+    // Seconds for Retry-After; 0 means that the header is left out.
+    int retry_after_seconds;
+};
+
+// The last reason of a failed call.
+struct error {
+    error_kind kind = error_kind::internal;
+    std::string detail;
+};
+
+const error_answer& answer_for(error_kind kind);
+std::string_view to_string(request_outcome outcome);
+
+} // namespace samphirespool::kernel
--- /dev/null
+++ b/src/wire/frame.hpp
@@ -0,0 +1,21 @@
+// The frame between two routers: kinds of payload, and the size limit.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace samphirespool::wire {
+
+// Each kind's payload is one FlatBuffers root table. Numbers are part of the protocol.
+enum class frame_kind : std::uint8_t {
+    membership = 1,
+    shares = 2,
+    configuration = 3,
+    claims = 4,
+    limits = 5,
+};
+
+constexpr std::uint8_t protocol_version = 1;
+constexpr std::size_t max_frame_bytes = 1024 * 1024;
+
+} // namespace samphirespool::wire
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,3 @@
+// Entry point of the unit tests.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
