Add the transport between routers: signed frames over TCP on the event loop

Cause: routers need best-effort messages in order per peer, refused when garbled, replayed, too large or signed with another key. The size limit in wire/frame.hpp is now computed in size_t.

--- a/src/wire/frame.hpp
+++ b/src/wire/frame.hpp
@@ -16,6 +16,6 @@
 };
 
 constexpr std::uint8_t protocol_version = 1;
-constexpr std::size_t max_frame_bytes = 1024 * 1024;
+constexpr std::size_t max_frame_bytes = std::size_t{1024} * 1024;
 
 } // namespace samphirespool::wire
--- /dev/null
+++ b/src/wire/payload_check.cpp
@@ -0,0 +1,37 @@
+// Table from a frame kind to the verifier of its root table.
+#include "wire/payload_check.hpp"
+
+#include "wire/frame_codec.hpp"
+#include "wire/generated/hello_generated.h"
+
+#include <array>
+#include <cstddef>
+
+namespace samphirespool::wire {
+
+namespace {
+
+using check = bool (*)(flatbuffers::Verifier&);
+
+struct kind_check {
+    frame_kind kind;
+    check verify;
+};
+
+constexpr std::array checks = {
+    kind_check{hello_kind, [](flatbuffers::Verifier& v) { return fb::VerifyhelloBuffer(v); }},
+};
+
+} // namespace
+
+bool payload_is_valid(frame_kind kind, std::span<const std::uint8_t> payload) {
+    for (const auto& entry : checks) {
+        if (entry.kind != kind)
+            continue;
+        flatbuffers::Verifier verifier(payload.data(), payload.size());
+        return entry.verify(verifier);
+    }
+    return true;
+}
+
+} // namespace samphirespool::wire
--- /dev/null
+++ b/src/wire/tcp_transport.cpp
@@ -0,0 +1,97 @@
+// Listens, keeps the connections and hands frames to their receivers.
+#include "wire/tcp_transport.hpp"
+
+#include "wire/socket_options.hpp"
+
+#include <cerrno>
+#include <cstring>
+
+namespace samphirespool::wire {
+
+namespace {
+
+constexpr auto keep_unused_peer = std::chrono::minutes(10);
+
+} // namespace
+
+tcp_transport::tcp_transport(http::event_loop& loop, kernel::hybrid_clock& clock,
+                             kernel::random_source& random, tcp_transport_settings settings)
+    : settings(std::move(settings)),
+      signer(this->settings.keys),
+      context{loop, clock, random, this->signer, this->settings.listen, this->settings.life, {}} {
+    this->inbound_events.on_frame = [this](const helpers::endpoint& from,
+                                           const received_frame& frame) {
+        const auto& receiver = this->receivers[static_cast<std::size_t>(frame.kind)];
+        if (receiver)
+            receiver(from, frame.payload);
+    };
+    this->inbound_events.on_hello = [this](const helpers::endpoint& from) {
+        const auto found = this->peers.find(from);
+        if (found != this->peers.end())
+            found->second->reset_back_off();
+    };
+    this->inbound_events.on_end = [this](inbound_connection& ended) {
+        this->inbound.erase(&ended);
+    };
+}
+
+tcp_transport::~tcp_transport() {
+    if (this->listener != nullptr)
+        h2o_socket_close(this->listener);
+}
+
+std::optional<kernel::error> tcp_transport::start() {
+    const auto descriptor = open_listener(this->context.self);
+    if (!descriptor)
+        return kernel::error{kernel::error_kind::invalid_settings,
+                             "cannot listen on peer address " +
+                                 helpers::to_string(this->context.self) + ": " +
+                                 std::strerror(errno)};
+    this->listener = h2o_evloop_socket_create(this->context.loop.native(), *descriptor,
+                                              H2O_SOCKET_FLAG_DONT_READ);
+    this->listener->data = this;
+    h2o_socket_read_start(this->listener, on_accept);
+    return std::nullopt;
+}
+
+void tcp_transport::send(const helpers::endpoint& to, frame_kind kind,
+                         std::span<const std::uint8_t> payload) {
+    auto found = this->peers.find(to);
+    if (found == this->peers.end()) {
+        this->forget_unused_peers();
+        found = this->peers.emplace(to, std::make_unique<outbound_peer>(this->context, to)).first;
+    }
+    found->second->send(kind, payload);
+}
+
+void tcp_transport::receive(frame_kind kind, frame_receiver receiver) {
+    this->receivers.at(static_cast<std::size_t>(kind)) = std::move(receiver);
+}
+
+void tcp_transport::on_accept(h2o_socket_t* listener, const char* error) {
+    if (error == nullptr)
+        static_cast<tcp_transport*>(listener->data)->accept_all();
+}
+
+void tcp_transport::accept_all() {
+    while (auto* socket = h2o_evloop_socket_accept(this->listener)) {
+        if (this->inbound.size() >= this->settings.max_inbound) {
+            h2o_socket_close(socket);
+            continue;
+        }
+        ++this->context.counters.accepts;
+        set_connection_options(h2o_socket_get_fd(socket));
+        auto accepted =
+            std::make_unique<inbound_connection>(this->context, socket, this->inbound_events);
+        const auto* key = accepted.get();
+        this->inbound.emplace(key, std::move(accepted));
+    }
+}
+
+void tcp_transport::forget_unused_peers() {
+    const auto since = this->context.loop.time().now() - keep_unused_peer;
+    std::erase_if(this->peers,
+                  [&](const auto& entry) { return entry.second->unused_since(since); });
+}
+
+} // namespace samphirespool::wire
