Add membership: probing with suspicion, refutation and piggybacked updates

Cause: routers must know each other at a cost that does not grow with the fleet, through loss, pauses, restarts and partitions.

--- /dev/null
+++ b/src/membership/membership_view.hpp
@@ -0,0 +1,29 @@
+// The routers as the other parts see them.
+#pragma once
+
+#include "membership/member.hpp"
+
+#include <functional>
+#include <map>
+
+namespace samphirespool::membership {
+
+class membership_view {
+public:
+    virtual ~membership_view() = default;
+
+    // Every known router, also this one and dead ones, by id.
+    virtual const std::map<helpers::router_id, member>& members() const = 0;
+    virtual const member_record& self() const = 0;
+
+    // Runs after a member's record changed; `now` is null if it was forgotten.
+    virtual void
+    on_change(std::function<void(helpers::router_id id, const member* now)> listener) = 0;
+
+    const member* find(helpers::router_id id) const {
+        const auto found = this->members().find(id);
+        return found == this->members().end() ? nullptr : &found->second;
+    }
+};
+
+} // namespace samphirespool::membership
--- a/src/wire/payload_check.cpp
+++ b/src/wire/payload_check.cpp
@@ -3,6 +3,7 @@
 
 #include "wire/frame_codec.hpp"
 #include "wire/generated/hello_generated.h"
+#include "wire/generated/membership_generated.h"
 
 #include <array>
 #include <cstddef>
@@ -20,6 +21,8 @@
 
 constexpr std::array checks = {
     kind_check{hello_kind, [](flatbuffers::Verifier& v) { return fb::VerifyhelloBuffer(v); }},
+    kind_check{frame_kind::membership,
+               [](flatbuffers::Verifier& v) { return fb::Verifymembership_messageBuffer(v); }},
 };
 
 } // namespace
--- a/tests/wire/test_tcp_transport.cpp
+++ b/tests/wire/test_tcp_transport.cpp
@@ -33,7 +33,9 @@
         return next == steps.size();
     }
 
-    bool run_until(std::function<bool()> condition) { return this->run_steps({condition}); }
+    bool run_until(std::function<bool()> condition) {
+        return this->run_steps({std::move(condition)});
+    }
 
     std::unique_ptr<wire::tcp_transport> make(const std::string& key, std::uint16_t port = 0) {
         const std::vector<std::string> keys{key};
