Serve and call HTTP/1.1 on h2o

Cause: the path needs a server and a client with streams, back pressure and cancel. Change: h2o_server, h2o_client, TLS keys, error answers. client_request gains fresh_connection, server_limits gains max_header_bytes; event_loop::run_once is public for tests. Conclusion: a broken answer ends without its last chunk; departure is seen while h2o does not read.

--- a/src/http/event_loop.hpp
+++ b/src/http/event_loop.hpp
@@ -22,14 +22,15 @@
     void run();
     void stop() { this->stopping = true; }
 
+    // Waits for events once, at most until the next timer, and handles them.
+    void run_once();
+
     // Runs the task on the loop when the process gets SIGTERM or SIGINT.
     void on_terminate(kernel::task work) { this->terminate_task = std::move(work); }
 
     h2o_loop_t* native() { return this->h2o; }
 
 private:
-    void run_once();
-
     kernel::system_clock time_source;
     kernel::timer_queue timers;
     kernel::task terminate_task;
--- /dev/null
+++ b/src/http/h2o_call.cpp
@@ -0,0 +1,200 @@
+// Drives h2o's client through one request: time limits, pause, cancel.
+#include "http/h2o_call.hpp"
+
+#include <cstring>
+#include <utility>
+
+namespace samphirespool::http {
+
+namespace {
+
+helpers::duration or_default(helpers::duration wanted, helpers::duration fallback) {
+    return wanted == helpers::duration::zero() ? fallback : wanted;
+}
+
+} // namespace
+
+h2o_call::h2o_call(event_loop& loop, const client_limits& limits, const client_request& request,
+                   response_listener& listener)
+    : loop(loop),
+      listener(listener),
+      to(request.to),
+      is_head_method(request.method == "HEAD"),
+      connect_timeout(limits.connect_timeout),
+      first_byte_timeout(or_default(request.first_byte_timeout, limits.first_byte_timeout)),
+      idle_timeout(or_default(request.idle_timeout, limits.idle_timeout)),
+      started(loop.time().now()) {
+    this->serialize(request);
+}
+
+h2o_call::~h2o_call() {
+    this->loop.cancel(this->timer);
+    if (this->scope != nullptr) {
+        // h2o is in a callback of this call and closes the connection when that returns.
+        this->scope->call_destroyed = true;
+        return;
+    }
+    if (this->native != nullptr)
+        h2o_http1client_cancel(this->native);
+}
+
+void h2o_call::serialize(const client_request& request) {
+    this->message.reserve(request.body.size() + 512);
+    this->message += request.method + " " + request.path +
+                     " HTTP/1.1\r\nhost: " + helpers::to_string(request.to) + "\r\n";
+    for (const auto& field : request.headers)
+        this->message.append(field.name).append(": ").append(field.value).append("\r\n");
+    if (request.fresh_connection)
+        this->message += "connection: close\r\n";
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT")
+        this->message += "content-length: " + std::to_string(request.body.size()) + "\r\n";
+    this->message += "\r\n";
+    this->message += request.body;
+}
+
+void h2o_call::connect(h2o_http1client_ctx_t& context, h2o_socketpool_t* pool) {
+    this->arm(std::min(this->connect_timeout, this->first_byte_timeout));
+    if (pool != nullptr) {
+        h2o_http1client_connect_with_pool(&this->native, this, &context, pool, on_connect);
+        return;
+    }
+    h2o_http1client_connect(&this->native, this, &context,
+                            h2o_iovec_init(this->to.ip.data(), this->to.ip.size()), this->to.port,
+                            0, on_connect);
+}
+
+void h2o_call::arm(helpers::duration wait) {
+    this->loop.cancel(this->timer);
+    this->timer = this->loop.schedule(wait, [this] {
+        this->timer = 0;
+        this->on_timer();
+    });
+}
+
+void h2o_call::on_timer() {
+    if (this->current == phase::reading_body) {
+        const auto idle = this->loop.time().now() - this->last_progress;
+        if (this->paused || idle < this->idle_timeout) {
+            this->arm(this->paused ? this->idle_timeout : this->idle_timeout - idle);
+            return;
+        }
+    }
+    if (auto* ending = std::exchange(this->native, nullptr))
+        h2o_http1client_cancel(ending);
+    if (this->current == phase::connecting)
+        this->fail(kernel::error_kind::target_unreachable, "connect timed out");
+    else if (this->current == phase::waiting_for_head)
+        this->fail(kernel::error_kind::target_failed, "no answer in time");
+    else
+        this->fail(kernel::error_kind::answer_truncated, "the answer stalled");
+}
+
+void h2o_call::fail(kernel::error_kind kind, std::string detail) {
+    const bool maybe_sent = this->current != phase::connecting;
+    this->current = phase::ended;
+    this->loop.cancel(std::exchange(this->timer, 0));
+    this->listener.on_failed({kind, helpers::to_string(this->to) + ": " + std::move(detail)},
+                             maybe_sent);
+}
+
+h2o_http1client_head_cb h2o_call::on_connect(h2o_http1client_t* native, const char* error,
+                                             h2o_iovec_t** buffers, std::size_t* count,
+                                             int* method_is_head) {
+    auto* self = static_cast<h2o_call*>(native->data);
+    if (error != nullptr) {
+        self->native = nullptr;
+        // May run from within start(), from where the listener must not be called.
+        self->loop.cancel(self->timer);
+        self->timer =
+            self->loop.schedule(helpers::duration::zero(), [self, detail = std::string(error)] {
+                self->timer = 0;
+                self->fail(kernel::error_kind::target_unreachable, detail);
+            });
+        return nullptr;
+    }
+    self->current = phase::waiting_for_head;
+    self->arm(self->first_byte_timeout);
+    self->message_vector = h2o_iovec_init(self->message.data(), self->message.size());
+    *buffers = &self->message_vector;
+    *count = 1;
+    *method_is_head = self->is_head_method ? 1 : 0;
+    return on_head;
+}
+
+h2o_http1client_body_cb h2o_call::on_head(h2o_http1client_t* native, const char* error, int,
+                                          int status, h2o_iovec_t, h2o_header_t* headers,
+                                          std::size_t count, int) {
+    auto* self = static_cast<h2o_call*>(native->data);
+    const bool is_end = error == h2o_http1client_error_is_eos;
+    callback_scope running(*self);
+    if (error != nullptr && !is_end) {
+        self->native = nullptr;
+        self->fail(kernel::error_kind::target_failed, error);
+        return nullptr;
+    }
+    self->current = phase::reading_body;
+    self->last_progress = self->loop.time().now();
+    header_list received;
+    received.reserve(count);
+    for (std::size_t i = 0; i < count; ++i)
+        received.push_back({std::string(headers[i].name->base, headers[i].name->len),
+                            std::string(headers[i].value.base, headers[i].value.len)});
+    self->listener.on_head(status, received);
+    if (running.call_destroyed)
+        return nullptr;
+    if (is_end) {
+        self->native = nullptr;
+        self->current = phase::ended;
+        self->loop.cancel(std::exchange(self->timer, 0));
+        self->listener.on_done();
+        return nullptr;
+    }
+    return on_body;
+}
+
+int h2o_call::on_body(h2o_http1client_t* native, const char* error) {
+    auto* self = static_cast<h2o_call*>(native->data);
+    callback_scope running(*self);
+    self->last_progress = self->loop.time().now();
+    auto* input = native->sock->input;
+    if (input->size != 0) {
+        const auto size = input->size;
+        self->listener.on_body({input->bytes, size});
+        if (running.call_destroyed)
+            return -1;
+        h2o_buffer_consume(&native->sock->input, size);
+    }
+    if (error == nullptr) {
+        if (self->paused && self->paused_reader == nullptr)
+            self->pause();
+        return 0;
+    }
+    self->native = nullptr;
+    if (error != h2o_http1client_error_is_eos) {
+        self->fail(kernel::error_kind::answer_truncated, error);
+        return -1;
+    }
+    self->current = phase::ended;
+    self->loop.cancel(std::exchange(self->timer, 0));
+    self->listener.on_done();
+    return 0;
+}
+
+void h2o_call::pause() {
+    this->paused = true;
+    if (this->native == nullptr || this->native->sock == nullptr ||
+        this->current != phase::reading_body || !h2o_socket_is_reading(this->native->sock))
+        return;
+    this->paused_reader = this->native->sock->_cb.read;
+    h2o_socket_read_stop(this->native->sock);
+}
+
+void h2o_call::resume() {
+    this->paused = false;
+    this->last_progress = this->loop.time().now();
+    auto reader = std::exchange(this->paused_reader, nullptr);
+    if (this->native != nullptr && reader != nullptr)
+        h2o_socket_read_start(this->native->sock, reader);
+}
+
+} // namespace samphirespool::http
--- /dev/null
+++ b/src/http/h2o_exchange.cpp
@@ -0,0 +1,91 @@
+// Copies the request out of h2o's memory, which goes when the caller departs.
+#include "http/h2o_exchange.hpp"
+
+#include <utility>
+
+namespace samphirespool::http {
+
+namespace {
+
+std::string to_string(const h2o_iovec_t& text) {
+    return text.base == nullptr ? std::string() : std::string(text.base, text.len);
+}
+
+} // namespace
+
+h2o_exchange::h2o_exchange(h2o_req_t& request, response_stream& stream)
+    : stream(&stream),
+      method(to_string(request.input.method)),
+      target(to_string(request.input.path)),
+      body(to_string(request.entity)) {
+    this->headers.reserve(request.headers.size);
+    for (std::size_t i = 0; i < request.headers.size; ++i) {
+        const auto& field = request.headers.entries[i];
+        this->headers.push_back({to_string(*field.name), to_string(field.value)});
+    }
+    stream.set_owner(this);
+}
+
+h2o_exchange::~h2o_exchange() {
+    if (this->stream == nullptr)
+        return;
+    this->stream->set_owner(nullptr);
+    if (!this->is_finished)
+        this->stream->break_off();
+}
+
+server_request h2o_exchange::request() const {
+    const std::string_view whole = this->target;
+    const auto mark = whole.find('?');
+    const auto path = whole.substr(0, mark);
+    const auto query = mark == std::string_view::npos ? std::string_view() : whole.substr(mark + 1);
+    return {this->method, path, query, this->body, this->headers};
+}
+
+std::size_t h2o_exchange::header_bytes() const {
+    std::size_t total = 0;
+    for (const auto& field : this->headers)
+        total += field.name.size() + field.value.size();
+    return total;
+}
+
+void h2o_exchange::respond(int status, header_list headers, std::string_view body) {
+    if (this->stream == nullptr || this->stream->begun())
+        return;
+    this->stream->begin(status, headers, body.size());
+    this->stream->write_last(body);
+    this->is_finished = true;
+}
+
+void h2o_exchange::begin(int status, header_list headers) {
+    if (this->stream != nullptr)
+        this->stream->begin(status, headers, std::nullopt);
+}
+
+void h2o_exchange::write(std::span<const char> data) {
+    if (this->stream != nullptr)
+        this->stream->write(data);
+}
+
+void h2o_exchange::finish() {
+    this->is_finished = true;
+    if (this->stream != nullptr)
+        this->stream->write_last({});
+}
+
+std::size_t h2o_exchange::buffered() const {
+    return this->stream == nullptr ? 0 : this->stream->buffered();
+}
+
+void h2o_exchange::stream_drained() {
+    if (this->drained)
+        this->drained();
+}
+
+void h2o_exchange::stream_departed() {
+    const auto work = std::exchange(this->departed, nullptr);
+    if (work)
+        work();
+}
+
+} // namespace samphirespool::http
--- /dev/null
+++ b/src/http/h2o_server.cpp
@@ -0,0 +1,217 @@
+// Listens, accepts and sweeps connections; requests become exchanges.
+#include "http/h2o_server.hpp"
+
+#include "http/error_response.hpp"
+#include "http/h2o_exchange.hpp"
+#include "http/socket_address.hpp"
+
+#include <fcntl.h>
+#include <h2o/http1.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace samphirespool::http {
+
+namespace {
+
+constexpr int listen_backlog = 4096;
+constexpr int accepts_per_wakeup = 64;
+constexpr auto sweep_interval = std::chrono::seconds(1);
+constexpr std::string_view server_name = "samphirespool";
+constexpr std::string_view overload_answer =
+    "HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\nretry-after: 1\r\n"
+    "x-outcome: not run\r\nconnection: close\r\n\r\n"
+    R"({"error":{"code":"queue_full","message":"too many connections","outcome":"not run","request_id":"","retry_after_ms":1000}})";
+constexpr std::string_view timeout_answer =
+    "HTTP/1.1 408 Request Timeout\r\ncontent-type: application/json\r\nx-outcome: not run\r\n"
+    "connection: close\r\n\r\n"
+    R"({"error":{"code":"request_timeout","message":"the request did not arrive in time","outcome":"not run","request_id":"","retry_after_ms":0}})";
+
+kernel::error system_error(std::string_view what, const helpers::endpoint& at) {
+    return {kernel::error_kind::invalid_settings,
+            std::string(what) + " " + helpers::to_string(at) + ": " + std::strerror(errno)};
+}
+
+int open_listener(const helpers::endpoint& at, kernel::error& reason) {
+    const auto address = socket_address::of(at);
+    const int descriptor =
+        socket(address.family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP);
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (bind(descriptor, address.get(), address.size()) == 0 &&
+        ::listen(descriptor, listen_backlog) == 0)
+        return descriptor;
+    reason = system_error("cannot listen on", at);
+    close(descriptor);
+    return -1;
+}
+
+// Answers outside of h2o and ends the connection; h2o then sees its end.
+void answer_raw(h2o_socket_t* socket, std::string_view answer) {
+    const int descriptor = h2o_socket_get_fd(socket);
+    if (socket->ssl == nullptr)
+        send(descriptor, answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    shutdown(descriptor, SHUT_RDWR);
+}
+
+} // namespace
+
+std::unique_ptr<h2o_server> h2o_server::listen(event_loop& loop, const helpers::endpoint& at,
+                                               const server_limits& limits, const tls_keys* keys,
+                                               exchange_handler handler, kernel::error& reason) {
+    const int descriptor = open_listener(at, reason);
+    if (descriptor < 0)
+        return nullptr;
+    return std::unique_ptr<h2o_server>(
+        new h2o_server(loop, limits, keys, std::move(handler), descriptor));
+}
+
+h2o_server::h2o_server(event_loop& loop, const server_limits& limits, const tls_keys* keys,
+                       exchange_handler handler, int descriptor)
+    : loop(loop),
+      limits(limits),
+      keys(keys),
+      handler(std::move(handler)),
+      bound_port(socket_address::local_port(descriptor)) {
+    this->setup_h2o();
+    this->listener = h2o_evloop_socket_create(loop.native(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
+    this->listener->data = this;
+    h2o_socket_read_start(this->listener, on_accept);
+    this->sweep_timer = loop.schedule(sweep_interval, [this] { this->sweep(); });
+}
+
+// h2o closes a connection only from the loop. What open connections refer to is therefore given up
+// to them; they find no owner any more.
+h2o_server::~h2o_server() {
+    this->stop_accepting();
+    this->loop.cancel(this->sweep_timer);
+    this->state->slot->owner = nullptr;
+    if (this->state->open.empty()) {
+        h2o_context_dispose(&this->state->context);
+        h2o_config_dispose(&this->state->configuration);
+        return;
+    }
+    for (auto& each : this->state->open) {
+        shutdown(h2o_socket_get_fd(each.socket), SHUT_RDWR);
+        each.owner = nullptr;
+    }
+    static_cast<void>(this->state.release());
+}
+
+void h2o_server::setup_h2o() {
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    h2o_config_init(&this->state->configuration);
+    this->state->configuration.server_name = h2o_iovec_init(server_name.data(), server_name.size());
+    this->state->configuration.max_request_entity_size = this->limits.max_body_bytes;
+    this->state->configuration.http1.upgrade_to_http2 = 0;
+    this->state->configuration.http1.req_timeout = static_cast<std::uint64_t>(
+        duration_cast<milliseconds>(this->limits.idle_timeout + this->limits.request_timeout)
+            .count());
+    auto* host = h2o_config_register_host(&this->state->configuration,
+                                          h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    auto* path = h2o_config_register_path(host, "/", 0);
+    this->state->slot =
+        reinterpret_cast<handler_slot*>(h2o_create_handler(path, sizeof(handler_slot)));
+    this->state->slot->super.on_req = on_request;
+    this->state->slot->owner = this;
+    h2o_context_init(&this->state->context, this->loop.native(), &this->state->configuration);
+    this->state->accept_context.ctx = &this->state->context;
+    this->state->accept_context.hosts = this->state->configuration.hosts;
+}
+
+void h2o_server::stop_accepting() {
+    if (this->listener == nullptr)
+        return;
+    h2o_socket_close(std::exchange(this->listener, nullptr));
+    this->state->context.shutdown_requested = 1;
+    for (auto& each : this->state->open)
+        if (each.active == nullptr && each.socket->input->size == 0)
+            shutdown(h2o_socket_get_fd(each.socket), SHUT_RDWR);
+}
+
+void h2o_server::on_accept(h2o_socket_t* listener, const char* error) {
+    if (error != nullptr)
+        return;
+    auto* self = static_cast<h2o_server*>(listener->data);
+    for (int i = 0; i < accepts_per_wakeup; ++i) {
+        auto* socket = h2o_evloop_socket_accept(listener);
+        if (socket == nullptr)
+            return;
+        self->accept(socket);
+    }
+}
+
+void h2o_server::accept(h2o_socket_t* socket) {
+    if (this->state->open.size() >= this->limits.max_connections) {
+        answer_raw(socket, overload_answer);
+        h2o_socket_close(socket);
+        return;
+    }
+    this->state->open.emplace_back();
+    auto& record = this->state->open.back();
+    record.owner = this;
+    record.socket = socket;
+    record.place = std::prev(this->state->open.end());
+    socket->on_close.cb = on_close;
+    socket->on_close.data = static_cast<connection_record*>(&record);
+    this->state->accept_context.ssl_ctx = this->keys == nullptr ? nullptr : this->keys->context();
+    h2o_accept(&this->state->accept_context, socket);
+}
+
+void h2o_server::on_close(void* data) {
+    auto* record = static_cast<connection*>(static_cast<connection_record*>(data));
+    if (record->owner != nullptr)
+        record->owner->state->open.erase(record->place);
+}
+
+int h2o_server::on_request(h2o_handler_t* self, h2o_req_t* request) {
+    auto* owner = reinterpret_cast<handler_slot*>(self)->owner;
+    if (owner == nullptr)
+        return -1;
+    owner->handle(*request);
+    return 0;
+}
+
+void h2o_server::handle(h2o_req_t& request) {
+    auto* socket = request.conn->callbacks->get_socket(request.conn);
+    auto& record = *static_cast<connection_record*>(socket->on_close.data);
+    static_cast<connection&>(record).partial_since.reset();
+    auto* stream = response_stream::attach(request, this->loop, record);
+    auto incoming = std::make_unique<h2o_exchange>(request, *stream);
+    if (incoming->header_bytes() > this->limits.max_header_bytes) {
+        respond_with_error(*incoming, {{kernel::error_kind::header_too_large, ""}});
+        return;
+    }
+    this->handler(std::move(incoming));
+}
+
+void h2o_server::sweep() {
+    const auto now = this->loop.time().now();
+    for (auto& each : this->state->open)
+        this->sweep(each, now);
+    this->sweep_timer = this->loop.schedule(sweep_interval, [this] { this->sweep(); });
+}
+
+void h2o_server::sweep(connection& each, helpers::time_point now) const {
+    if (each.active != nullptr) {
+        const auto stalled = each.active->stalled_since();
+        if (stalled && now - *stalled > this->limits.idle_timeout)
+            shutdown(h2o_socket_get_fd(each.socket), SHUT_RDWR);
+        return;
+    }
+    if (each.socket->input->size == 0) {
+        each.partial_since.reset();
+        return;
+    }
+    if (!each.partial_since)
+        each.partial_since = now;
+    if (now - *each.partial_since > this->limits.request_timeout)
+        answer_raw(each.socket, timeout_answer);
+}
+
+} // namespace samphirespool::http
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -33,6 +33,9 @@
     helpers::duration first_byte_timeout{};
     // Longest silence within the answer's body; zero means the client's default.
     helpers::duration idle_timeout{};
+    // Never sent on a connection that carried another request before. Set for calls that may not be
+    // repeated: a pooled connection may turn out dead only after the request left.
+    bool fresh_connection = false;
 };
 
 } // namespace samphirespool::http
--- /dev/null
+++ b/src/http/response_stream.cpp
@@ -0,0 +1,255 @@
+// Feeds an answer to h2o and notices when the caller departs.
+#include "http/response_stream.hpp"
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <new>
+#include <utility>
+
+namespace samphirespool::http {
+
+namespace {
+
+// Pause between looks at a connection that has pipelined bytes waiting.
+constexpr auto recheck_interval = std::chrono::milliseconds(250);
+// nginx's status for a caller that departed; no caller sees it.
+constexpr int status_departed = 499;
+constexpr int status_internal = 500;
+
+struct status_text {
+    int status;
+    const char* text;
+};
+
+constexpr std::array<status_text, 24> status_texts{{
+    {200, "OK"},
+    {201, "Created"},
+    {202, "Accepted"},
+    {204, "No Content"},
+    {301, "Moved Permanently"},
+    {302, "Found"},
+    {304, "Not Modified"},
+    {400, "Bad Request"},
+    {401, "Unauthorized"},
+    {403, "Forbidden"},
+    {404, "Not Found"},
+    {405, "Method Not Allowed"},
+    {408, "Request Timeout"},
+    {409, "Conflict"},
+    {410, "Gone"},
+    {412, "Precondition Failed"},
+    {413, "Payload Too Large"},
+    {422, "Unprocessable Entity"},
+    {429, "Too Many Requests"},
+    {431, "Request Header Fields Too Large"},
+    {500, "Internal Server Error"},
+    {502, "Bad Gateway"},
+    {503, "Service Unavailable"},
+    {504, "Gateway Timeout"},
+}};
+
+const char* reason_phrase(int status) {
+    for (const auto& entry : status_texts)
+        if (entry.status == status)
+            return entry.text;
+    return "Other";
+}
+
+bool peer_has_closed(int fd) {
+    pollfd entry{fd, POLLRDHUP, 0};
+    if (poll(&entry, 1, 0) <= 0)
+        return false;
+    return (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+} // namespace
+
+response_stream* response_stream::attach(h2o_req_t& request, kernel::loop& loop,
+                                         connection_record& connection) {
+    auto* memory = h2o_mem_alloc_shared(&request.pool, sizeof(holder), dispose);
+    auto* held = new (memory) holder{};
+    held->stream = new response_stream(request, loop, connection);
+    held->generator.proceed = proceed;
+    held->generator.stop = nullptr;
+    held->stream->generator = &held->generator;
+    connection.active = held->stream;
+    held->stream->watch_for_departure();
+    return held->stream;
+}
+
+void response_stream::dispose(void* memory) {
+    delete static_cast<holder*>(memory)->stream;
+}
+
+response_stream::~response_stream() {
+    this->loop.cancel(this->head_flush);
+    this->loop.cancel(this->recheck);
+    this->connection.active = nullptr;
+    if (this->receiver == nullptr)
+        return;
+    auto* told = std::exchange(this->receiver, nullptr);
+    const bool complete = this->final_state == H2O_SEND_STATE_FINAL && this->waiting.empty();
+    if (!complete && !this->has_departed)
+        told->stream_departed();
+    told->stream_gone();
+}
+
+h2o_socket_t* response_stream::socket() const {
+    return this->request.conn->callbacks->get_socket(this->request.conn);
+}
+
+// h2o does not read during an answer, so a departure would go unnoticed until a write fails.
+void response_stream::watch_for_departure() {
+    auto* socket = this->socket();
+    this->watching = true;
+    h2o_socket_dont_read(socket, 1);
+    h2o_socket_read_start(socket, on_readable);
+}
+
+void response_stream::stop_watching() {
+    this->loop.cancel(std::exchange(this->recheck, 0));
+    if (!this->watching)
+        return;
+    this->watching = false;
+    auto* socket = this->socket();
+    h2o_socket_read_stop(socket);
+    h2o_socket_dont_read(socket, 0);
+}
+
+void response_stream::on_readable(h2o_socket_t* socket, const char*) {
+    const auto* record = static_cast<connection_record*>(socket->on_close.data);
+    if (record->active != nullptr)
+        record->active->check_departure();
+}
+
+void response_stream::check_departure() {
+    auto* socket = this->socket();
+    if (!peer_has_closed(h2o_socket_get_fd(socket))) {
+        h2o_socket_read_stop(socket);
+        this->recheck = this->loop.schedule(recheck_interval, [this] {
+            this->recheck = 0;
+            h2o_socket_read_start(this->socket(), on_readable);
+        });
+        return;
+    }
+    this->has_departed = true;
+    if (this->receiver != nullptr)
+        this->receiver->stream_departed();
+    this->waiting.clear();
+    if (this->is_sending) {
+        this->stop_watching();
+        // Makes the write in progress fail, so that h2o closes the connection.
+        shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+        return;
+    }
+    if (!this->has_begun)
+        this->begin(status_departed, {}, 0);
+    this->end(H2O_SEND_STATE_ERROR);
+}
+
+void response_stream::begin(int status, const header_list& headers,
+                            std::optional<std::size_t> length) {
+    if (this->has_begun)
+        return;
+    this->has_begun = true;
+    this->request.res.status = status;
+    this->request.res.reason = reason_phrase(status);
+    if (length)
+        this->request.res.content_length = *length;
+    auto* pool = &this->request.pool;
+    for (const auto& field : headers) {
+        const auto name = h2o_strdup(pool, field.name.data(), field.name.size());
+        const auto value = h2o_strdup(pool, field.value.data(), field.value.size());
+        h2o_add_header_by_str(pool, &this->request.res.headers, name.base, name.len, 1, nullptr,
+                              value.base, value.len);
+    }
+    h2o_start_response(&this->request, this->generator);
+    // The head goes out with the first data, or soon if there is none.
+    this->head_flush = this->loop.schedule(helpers::duration::zero(), [this] {
+        this->head_flush = 0;
+        if (!this->is_sending && this->final_state == H2O_SEND_STATE_IN_PROGRESS)
+            this->flush_head();
+    });
+}
+
+void response_stream::write(std::span<const char> data) {
+    if (this->final_state != H2O_SEND_STATE_IN_PROGRESS || data.empty())
+        return;
+    this->waiting.append(data.data(), data.size());
+    if (!this->is_sending)
+        this->flush();
+}
+
+void response_stream::write_last(std::string_view rest) {
+    if (this->final_state != H2O_SEND_STATE_IN_PROGRESS)
+        return;
+    this->waiting.append(rest);
+    this->end(H2O_SEND_STATE_FINAL);
+}
+
+void response_stream::break_off() {
+    if (this->final_state != H2O_SEND_STATE_IN_PROGRESS)
+        return;
+    this->request.http1_is_persistent = 0;
+    if (!this->has_begun)
+        this->begin(status_internal, {}, 0);
+    this->end(H2O_SEND_STATE_ERROR);
+}
+
+void response_stream::end(h2o_send_state_t state) {
+    if (this->final_state != H2O_SEND_STATE_IN_PROGRESS)
+        return;
+    this->final_state = state;
+    if (!this->is_sending)
+        this->flush();
+}
+
+// h2o's filters hold an empty write back, so the head goes to the last stream directly.
+void response_stream::flush_head() {
+    this->is_sending = true;
+    this->sending_since = this->loop.time().now();
+    auto* last = this->request._ostr_top;
+    while (last->next != nullptr)
+        last = last->next;
+    last->do_send(last, &this->request, nullptr, 0, H2O_SEND_STATE_IN_PROGRESS);
+}
+
+// Invariant: nothing is being sent, and the final state was not handed over before.
+void response_stream::flush() {
+    this->loop.cancel(std::exchange(this->head_flush, 0));
+    this->in_flight.clear();
+    std::swap(this->in_flight, this->waiting);
+    this->is_sending = true;
+    this->sending_since = this->loop.time().now();
+    const auto state = this->final_state;
+    if (state != H2O_SEND_STATE_IN_PROGRESS)
+        this->stop_watching();
+    auto data = h2o_iovec_init(this->in_flight.data(), this->in_flight.size());
+    // The last call may dispose of the request and with it of this object.
+    h2o_send(&this->request, &data, this->in_flight.empty() ? 0 : 1, state);
+}
+
+void response_stream::proceed(h2o_generator_t* generator, h2o_req_t*) {
+    reinterpret_cast<holder*>(generator)->stream->taken();
+}
+
+void response_stream::taken() {
+    this->is_sending = false;
+    this->in_flight.clear();
+    if (!this->waiting.empty() || this->final_state != H2O_SEND_STATE_IN_PROGRESS) {
+        this->flush();
+        return;
+    }
+    if (this->receiver != nullptr)
+        this->receiver->stream_drained();
+}
+
+std::optional<helpers::time_point> response_stream::stalled_since() const {
+    if (!this->is_sending)
+        return std::nullopt;
+    return this->sending_since;
+}
+
+} // namespace samphirespool::http
--- /dev/null
+++ b/tests/http/test_http.cpp
@@ -0,0 +1,174 @@
+// The HTTP server and client against each other over real sockets.
+#include "tests/http/loopback.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace samphirespool;
+using tests::recorded_answer;
+using tests::run_until;
+
+namespace {
+
+http::client_request request_to(const http::h2o_server& server, std::string path) {
+    http::client_request request;
+    request.to = {"127.0.0.1", server.port()};
+    request.method = "POST";
+    request.path = std::move(path);
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("http: a body goes there and back, also over a pooled connection") {
+    http::event_loop loop;
+    auto server = tests::serve(loop, [](std::unique_ptr<http::exchange> incoming) {
+        const auto request = incoming->request();
+        CHECK(request.path == "/echo");
+        CHECK(request.query == "a=1");
+        CHECK(http::find_header(request.headers, "x-thing") == "value");
+        incoming->respond(201, {{"x-answer", "yes"}}, std::string(request.body));
+    });
+    http::h2o_client client(loop, {});
+    for (const bool fresh : {false, false, true}) {
+        auto request = request_to(*server, "/echo?a=1");
+        request.headers.push_back({"x-thing", "value"});
+        request.body = std::string(300'000, 'b');
+        request.fresh_connection = fresh;
+        recorded_answer answer;
+        const auto call = client.start(request, answer);
+        run_until(loop, [&] { return answer.ended(); });
+        CHECK(answer.done);
+        CHECK(answer.status == 201);
+        CHECK(answer.body == request.body);
+        CHECK(http::find_header(answer.headers, "x-answer") == "yes");
+    }
+    run_until(loop, [&] { return server->connections() <= 1; });
+    CHECK(server->connections() == 1);
+}
+
+TEST_CASE("http: a streamed answer arrives whole and in parts") {
+    http::event_loop loop;
+    std::unique_ptr<http::exchange> open;
+    auto server = tests::serve(loop, [&](std::unique_ptr<http::exchange> incoming) {
+        open = std::move(incoming);
+        open->begin(200, {{"content-type", "text/event-stream"}});
+    });
+    http::h2o_client client(loop, {});
+    recorded_answer answer;
+    const auto call = client.start(request_to(*server, "/"), answer);
+    run_until(loop, [&] { return answer.status != 0; });
+    CHECK(answer.status == 200);
+    for (const std::string part : {"one", "two", "three"}) {
+        open->write(part);
+        run_until(loop, [&] { return answer.body.ends_with(part); });
+    }
+    open->finish();
+    run_until(loop, [&] { return answer.ended(); });
+    CHECK(answer.done);
+    CHECK(answer.body == "onetwothree");
+}
+
+TEST_CASE("http: an answer that the server gives up is visibly broken") {
+    http::event_loop loop;
+    std::unique_ptr<http::exchange> open;
+    auto server = tests::serve(loop, [&](std::unique_ptr<http::exchange> incoming) {
+        open = std::move(incoming);
+        open->begin(200, {});
+        open->write(std::string_view("part"));
+    });
+    http::h2o_client client(loop, {});
+    recorded_answer answer;
+    const auto call = client.start(request_to(*server, "/"), answer);
+    run_until(loop, [&] { return answer.body == "part"; });
+    open.reset();
+    run_until(loop, [&] { return answer.ended(); });
+    CHECK_FALSE(answer.done);
+    REQUIRE(answer.failure);
+    CHECK(answer.failure->kind == kernel::error_kind::answer_truncated);
+    CHECK(answer.sent);
+}
+
+TEST_CASE("http: the server learns that the caller departed, before and during the answer") {
+    for (const bool begun : {false, true}) {
+        http::event_loop loop;
+        std::unique_ptr<http::exchange> open;
+        bool departed = false;
+        auto server = tests::serve(loop, [&](std::unique_ptr<http::exchange> incoming) {
+            open = std::move(incoming);
+            open->on_departed([&] { departed = true; });
+            if (begun)
+                open->begin(200, {});
+        });
+        http::h2o_client client(loop, {});
+        recorded_answer answer;
+        auto call = client.start(request_to(*server, "/"), answer);
+        run_until(loop, [&] { return open != nullptr && (!begun || answer.status == 200); });
+        call.reset();
+        run_until(loop, [&] { return departed; });
+        CHECK(departed);
+        open->write(std::string_view("too late"));
+        open.reset();
+        run_until(loop, [&] { return server->connections() == 0; });
+        CHECK(server->connections() == 0);
+    }
+}
+
+TEST_CASE("http: a paused reader stops a fast writer, and gets all of it once resumed") {
+    http::event_loop loop;
+    std::unique_ptr<http::exchange> open;
+    auto server = tests::serve(loop, [&](std::unique_ptr<http::exchange> incoming) {
+        open = std::move(incoming);
+        open->begin(200, {});
+    });
+    http::h2o_client client(loop, {});
+    recorded_answer answer;
+    const auto call = client.start(request_to(*server, "/"), answer);
+    run_until(loop, [&] { return answer.status != 0; });
+    call->pause();
+    const std::string block(1'000'000, 'x');
+    int drained = 0;
+    std::size_t written = 0;
+    open->on_drained([&] { ++drained; });
+    // Far more than the kernel's buffers hold.
+    for (int i = 0; i < 40; ++i, written += block.size())
+        open->write(block);
+    bool quiet = false;
+    loop.schedule(std::chrono::milliseconds(300), [&] { quiet = true; });
+    run_until(loop, [&] { return quiet; });
+    CHECK(open->buffered() > 10'000'000);
+    CHECK(answer.body.size() < 2'000'000);
+    call->resume();
+    run_until(loop, [&] { return answer.body.size() == written; });
+    CHECK(answer.body.size() == written);
+    CHECK(drained > 0);
+    open->finish();
+    run_until(loop, [&] { return answer.ended(); });
+    CHECK(answer.done);
+}
+
+TEST_CASE("http: a target that cannot be reached provably got nothing; a silent one may have") {
+    http::event_loop loop;
+    http::h2o_client client(loop, {});
+    std::unique_ptr<http::exchange> open;
+    auto server = tests::serve(
+        loop, [&](std::unique_ptr<http::exchange> incoming) { open = std::move(incoming); });
+    auto silent = request_to(*server, "/");
+    silent.first_byte_timeout = std::chrono::milliseconds(100);
+    recorded_answer late;
+    const auto first = client.start(silent, late);
+    run_until(loop, [&] { return late.ended(); });
+    REQUIRE(late.failure);
+    CHECK(late.failure->kind == kernel::error_kind::target_failed);
+    CHECK(late.sent);
+    open.reset();
+
+    const auto closed = request_to(*server, "/");
+    server.reset();
+    recorded_answer refused;
+    const auto second = client.start(closed, refused);
+    CHECK_FALSE(refused.ended());
+    run_until(loop, [&] { return refused.ended(); });
+    REQUIRE(refused.failure);
+    CHECK(refused.failure->kind == kernel::error_kind::target_unreachable);
+    CHECK_FALSE(refused.sent);
+}
