--- a/src/settings/router_settings.hpp
+++ b/src/settings/router_settings.hpp
@@ -3,10 +3,12 @@
 
 #include "helpers/endpoint.hpp"
 #include "helpers/time.hpp"
+#include "kernel/error.hpp"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace samphirespool::settings {
@@ -14,6 +16,8 @@
 struct tls_settings {
     std::string certificate_file;
     std::string key_file;
+
+    friend bool operator==(const tls_settings&, const tls_settings&) = default;
 };
 
 enum class admin_role : std::uint8_t {
@@ -26,6 +30,8 @@
     // Hex SHA-256 of the token.
     std::string token_hash;
     admin_role role = admin_role::reader;
+
+    friend bool operator==(const admin_token&, const admin_token&) = default;
 };
 
 struct router_settings {
@@ -47,7 +53,7 @@
     std::vector<std::string> fleet_keys;
     helpers::endpoint store;
 
-    std::size_t max_body_bytes = 8 * 1024 * 1024;
+    std::size_t max_body_bytes = std::size_t{8} << 20;
     std::size_t max_connections = 20'000;
     helpers::duration request_timeout = std::chrono::seconds(10);
     helpers::duration idle_timeout = std::chrono::seconds(60);
@@ -59,6 +65,18 @@
     std::string log_file;
     // Seed of this router's random choices; 0: from the machine.
     std::uint64_t seed = 0;
+
+    friend bool operator==(const router_settings&, const router_settings&) = default;
 };
 
+// Reads settings from YAML; the keys are the names of the members above. Appends every fault found,
+// of kind `invalid_settings`, with line and column in the detail, and returns nothing if there is
+// one.
+std::optional<router_settings> read_router_settings(std::string_view yaml_text,
+                                                    std::vector<kernel::error>& faults);
+
+// Appends a fault for each file named in the settings that this process cannot read, and for a log
+// file that it cannot write. Creates the log file if it is missing.
+void check_files(const router_settings& settings, std::vector<kernel::error>& faults);
+
 } // namespace samphirespool::settings
