Write events as JSON lines through glog's sinks

Events had an interface and no sink. json_log writes one bounded line an event with wall and hybrid time, process, request and fields; content cannot break a line. Messages that libraries log by glog's macros go the same way, and glog's own files and standard error are off.

--- /dev/null
+++ b/src/debug/json_log.cpp
@@ -0,0 +1,228 @@
+// JSON lines through glog's sinks.
+#include "debug/json_log.hpp"
+
+#include "debug/json_line.hpp"
+
+#include <array>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <fcntl.h>
+#include <glog/logging.h>
+#include <unistd.h>
+
+namespace samphirespool::debug {
+
+namespace {
+
+constexpr std::string_view cut_mark = "\xEF\xBF\xBD";
+
+// Turns off glog's own files and standard error: all goes through the sinks.
+void initialize_glog() {
+    FLAGS_logtostderr = false;
+    FLAGS_stderrthreshold = google::NUM_SEVERITIES;
+    FLAGS_minloglevel = 0;
+    for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity)
+        google::SetLogDestination(severity, "");
+    if (!google::IsGoogleLoggingInitialized())
+        google::InitGoogleLogging("samphirespool");
+}
+
+// The end of a line's file: a descriptor that is closed with it unless it is standard error.
+class line_output {
+public:
+    explicit line_output(int descriptor) : descriptor(descriptor) {}
+    ~line_output() {
+        if (this->descriptor != STDERR_FILENO)
+            ::close(this->descriptor);
+    }
+    line_output(const line_output&) = delete;
+    line_output& operator=(const line_output&) = delete;
+
+    void write(std::string_view line) {
+        while (!line.empty()) {
+            const auto count = ::write(this->descriptor, line.data(), line.size());
+            if (count < 0 && errno == EINTR)
+                continue;
+            if (count < 0) {
+                ++this->lost;
+                return;
+            }
+            line.remove_prefix(static_cast<std::size_t>(count));
+        }
+    }
+
+    std::uint64_t lost_lines() const { return this->lost; }
+
+private:
+    int descriptor;
+    std::uint64_t lost = 0;
+};
+
+// Takes lines that are complete.
+class event_line_sink final : public google::LogSink {
+public:
+    explicit event_line_sink(line_output& output) : output(output) {}
+
+    void send(google::LogSeverity, const char*, const char*, int, const google::LogMessageTime&,
+              const char* message, std::size_t length) override {
+        std::string line(message, length);
+        line.push_back('\n');
+        this->output.write(line);
+    }
+
+private:
+    line_output& output;
+};
+
+kernel::severity from_glog(google::LogSeverity severity) {
+    constexpr std::array<kernel::severity, google::NUM_SEVERITIES> levels{
+        kernel::severity::info, kernel::severity::warning, kernel::severity::error,
+        kernel::severity::error};
+    return levels.at(static_cast<std::size_t>(severity));
+}
+
+std::string_view bounded(std::string_view text, std::string& storage) {
+    if (text.size() <= json_log::max_text_bytes)
+        return text;
+    storage = text.substr(0, json_log::max_text_bytes);
+    storage.append(cut_mark);
+    return storage;
+}
+
+void add_bounded(json_line& line, const kernel::event_field& field) {
+    const auto* text = std::get_if<std::string>(&field.value);
+    if (text == nullptr)
+        return line.add(field);
+    std::string storage;
+    line.add(field.name, bounded(*text, storage));
+}
+
+} // namespace
+
+std::string_view to_string(kernel::severity level) {
+    constexpr std::array<std::string_view, 4> names{"debug", "info", "warning", "error"};
+    return names.at(static_cast<std::size_t>(level));
+}
+
+std::string to_string(const helpers::request_id& request) {
+    std::array<char, 64> buffer;
+    const auto length = std::snprintf(buffer.data(), buffer.size(), "%016llx-%llx-%llx",
+                                      static_cast<unsigned long long>(request.router.value),
+                                      static_cast<unsigned long long>(request.life.value),
+                                      static_cast<unsigned long long>(request.sequence));
+    return {buffer.data(), static_cast<std::size_t>(length)};
+}
+
+// The sink for events, and the one that glog calls for messages of libraries.
+class json_log::glog_sinks final : public google::LogSink {
+public:
+    glog_sinks(json_log_options options, kernel::hybrid_clock& order, const kernel::clock& time,
+               int descriptor)
+        : options(std::move(options)),
+          order(order),
+          time(time),
+          output(descriptor),
+          event_lines(output) {
+        google::AddLogSink(this);
+    }
+
+    ~glog_sinks() override { google::RemoveLogSink(this); }
+
+    bool takes(kernel::severity level) const { return level >= this->options.least_level; }
+
+    json_line begin(kernel::severity level, std::string_view name) {
+        json_line line;
+        const auto now = this->order.tick();
+        line.add("wall", this->time.wall());
+        line.add("hybrid", now.wall);
+        line.add("logical", std::uint64_t{now.logical});
+        line.add("level", to_string(level));
+        line.add("process", this->options.process);
+        line.add("event", name);
+        return line;
+    }
+
+    void write_event(json_line line) {
+        auto text = line.finish();
+        text.pop_back();
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(&this->event_lines, INFO) << text;
+    }
+
+    // A message that was logged with glog's macros.
+    void send(google::LogSeverity severity, const char*, const char* file, int file_line,
+              const google::LogMessageTime&, const char* message, std::size_t length) override {
+        const auto level = from_glog(severity);
+        if (!this->takes(level))
+            return;
+        auto line = this->begin(level, "glog.message");
+        std::string storage;
+        line.open("fields");
+        line.add("file", std::string_view(file));
+        line.add("line", std::int64_t{file_line});
+        line.add("message", bounded({message, length}, storage));
+        line.close();
+        this->output.write(line.finish());
+    }
+
+    std::uint64_t lost_lines() const { return this->output.lost_lines(); }
+
+private:
+    json_log_options options;
+    kernel::hybrid_clock& order;
+    const kernel::clock& time;
+    line_output output;
+    event_line_sink event_lines;
+};
+
+std::unique_ptr<json_log> json_log::open(json_log_options options, kernel::hybrid_clock& order,
+                                         const kernel::clock& time, kernel::error& reason) {
+    constexpr int file_mode = 0640;
+    const auto flags = O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC;
+    const int descriptor =
+        options.file.empty() ? STDERR_FILENO : ::open(options.file.c_str(), flags, file_mode);
+    if (descriptor < 0) {
+        reason = {kernel::error_kind::invalid_settings,
+                  "log file " + options.file + ": " + std::strerror(errno)};
+        return nullptr;
+    }
+    initialize_glog();
+    auto sinks = std::make_unique<glog_sinks>(std::move(options), order, time, descriptor);
+    return std::unique_ptr<json_log>(new json_log(std::move(sinks)));
+}
+
+json_log::json_log(std::unique_ptr<glog_sinks> sinks) : sinks(std::move(sinks)) {}
+
+json_log::~json_log() = default;
+
+void json_log::write(kernel::severity level, std::string_view name,
+                     const std::optional<helpers::request_id>& request,
+                     std::initializer_list<kernel::event_field> fields) {
+    if (!this->sinks->takes(level))
+        return;
+    auto line = this->sinks->begin(level, name);
+    if (request)
+        line.add("request", to_string(*request));
+    std::uint64_t dropped = 0;
+    if (fields.size() > 0) {
+        line.open("fields");
+        for (const auto& field : fields) {
+            const auto size_before = line.size();
+            add_bounded(line, field);
+            if (line.size() <= max_line_bytes)
+                continue;
+            line.cut(size_before);
+            ++dropped;
+        }
+        line.close();
+    }
+    if (dropped > 0)
+        line.add("dropped_fields", dropped);
+    this->sinks->write_event(std::move(line));
+}
+
+std::uint64_t json_log::lost_lines() const {
+    return this->sinks->lost_lines();
+}
+
+} // namespace samphirespool::debug
--- /dev/null
+++ b/src/debug/json_log.hpp
@@ -0,0 +1,65 @@
+// The log of a process: events and glog's own messages as JSON lines in one file or on standard
+// error. A line is
+//   {"wall":1764804629123,"hybrid":1764804629123,"logical":0,"level":"info","process":"router-a1",
+//    "event":"request.sent","request":"00f1..-1-2a","fields":{...}}
+// wall and hybrid in milliseconds since the Unix epoch; hybrid and logical order the lines of all
+// processes. "request" is left out where there is none.
+#pragma once
+
+#include "kernel/clock.hpp"
+#include "kernel/error.hpp"
+#include "kernel/event.hpp"
+#include "kernel/hybrid_clock.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace samphirespool::debug {
+
+// The name of a level as it stands in the log: debug, info, warning or error.
+std::string_view to_string(kernel::severity level);
+
+// A request's name as it stands in the log: router, life and sequence in hex with hyphens between.
+std::string to_string(const helpers::request_id& request);
+
+struct json_log_options {
+    std::string process;
+    // Empty: standard error.
+    std::string file;
+    kernel::severity least_level = kernel::severity::info;
+};
+
+// A process has one at a time, as glog's settings are global. glog's own output to files and
+// standard error is off from the first one on.
+class json_log final : public kernel::event_sink {
+public:
+    // Returns nothing and sets the reason if the file cannot be opened.
+    static std::unique_ptr<json_log> open(json_log_options options, kernel::hybrid_clock& order,
+                                          const kernel::clock& time, kernel::error& reason);
+    ~json_log() override;
+
+    void write(kernel::severity level, std::string_view name,
+               const std::optional<helpers::request_id>& request,
+               std::initializer_list<kernel::event_field> fields) override;
+
+    // Lines that the file or standard error did not take.
+    std::uint64_t lost_lines() const;
+
+    // Longer text fields are cut, with U+FFFD at the end.
+    static constexpr std::size_t max_text_bytes = 2048;
+    // Fields beyond this are left out and counted in "dropped_fields". Invariant: a line with one
+    // more field stays below glog's limit of 30,000 bytes.
+    static constexpr std::size_t max_line_bytes = 16'000;
+
+private:
+    class glog_sinks;
+
+    explicit json_log(std::unique_ptr<glog_sinks> sinks);
+
+    std::unique_ptr<glog_sinks> sinks;
+};
+
+} // namespace samphirespool::debug
