--- /dev/null
+++ b/tests/store/fake_exchange.hpp
@@ -0,0 +1,58 @@
+// An exchange whose request is given and whose answer is kept, for tests of handlers.
+#pragma once
+
+#include "http/server.hpp"
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace samphirespool::tests {
+
+struct kept_answer {
+    // Nothing until the handler has answered.
+    std::optional<int> status;
+    std::string body;
+    // True once the handler destroyed the exchange without an answer.
+    bool broken = false;
+    kernel::task departed;
+};
+
+class fake_exchange final : public http::exchange {
+public:
+    fake_exchange(std::string method, const std::string& target, std::string body,
+                  kept_answer& answer)
+        : method(std::move(method)), body(std::move(body)), answer(answer) {
+        const auto split = target.find('?');
+        this->path = target.substr(0, split);
+        if (split != std::string::npos)
+            this->query = target.substr(split + 1);
+    }
+    ~fake_exchange() override { this->answer.broken = !this->answer.status.has_value(); }
+
+    http::server_request request() const override {
+        return {this->method, this->path, this->query, this->body, this->headers};
+    }
+    void respond(int status, http::header_list, std::string_view text) override {
+        this->answer.status = status;
+        this->answer.body = text;
+    }
+    void begin(int status, http::header_list) override { this->answer.status = status; }
+    void write(std::span<const char> data) override {
+        this->answer.body.append(data.data(), data.size());
+    }
+    void finish() override {}
+    std::size_t buffered() const override { return 0; }
+    void on_drained(kernel::task) override {}
+    void on_departed(kernel::task work) override { this->answer.departed = std::move(work); }
+
+private:
+    std::string method;
+    std::string path;
+    std::string query;
+    std::string body;
+    http::header_list headers;
+    kept_answer& answer;
+};
+
+} // namespace samphirespool::tests
