--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -157,7 +157,8 @@
 void failure_detector::reunite() {
     auto addresses = this->seeds;
     for (const auto& [id, entry] : this->table.members()) {
-        if (entry.record.health == member_health::dead)
+        if (entry.record.health == member_health::dead ||
+            entry.record.health == member_health::gone)
             addresses.push_back(entry.record.address);
     }
     std::erase_if(addresses, [&](const auto& address) {
@@ -305,6 +306,13 @@
     return others;
 }
 
+void failure_detector::on_refused(const helpers::endpoint& address) {
+    const auto* refused = this->by_address(address);
+    if (refused != nullptr && refused->record.health < member_health::gone &&
+        refused->record.id != this->table.self().id)
+        this->table.judge(refused->record.id, member_health::gone);
+}
+
 void failure_detector::leave() {
     this->table.change_self(member_state::leaving, member_health::left);
     auto others = this->live_others();
@@ -328,7 +336,7 @@
             gone.push_back(id);
     }
     for (const auto id : gone)
-        this->table.forget(id);
+        this->table.judge(id, member_health::gone);
 }
 
 } // namespace samphirespool::membership
--- a/src/membership/member.hpp
+++ b/src/membership/member.hpp
@@ -23,7 +23,10 @@
     alive,
     suspect,
     dead,
-    // Gone by its own word.
+    // The process is over for certain: its VM refused the connection or is no longer listed. Its
+    // connections to targets ended with it.
+    gone,
+    // Over by its own word, after it handed everything over.
     left,
 };
 
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -20,7 +20,7 @@
 }
 
 bool is_gone(const member_record& record) {
-    return record.health == member_health::dead || record.health == member_health::left;
+    return record.health >= member_health::dead;
 }
 
 // Suspicion passes quickly and members forget the dead at different times, so neither counts as a
--- a/src/wire/outbound_peer.cpp
+++ b/src/wire/outbound_peer.cpp
@@ -5,6 +5,7 @@
 #include "wire/socket_options.hpp"
 
 #include <algorithm>
+#include <cerrno>
 
 namespace samphirespool::wire {
 
@@ -14,6 +15,7 @@
 constexpr std::size_t max_queue_frames = 4096;
 constexpr std::size_t max_write_bytes = std::size_t{64} * 1024;
 constexpr auto connect_wait = std::chrono::seconds(2);
+constexpr auto reconnect_pause = std::chrono::milliseconds(20);
 constexpr auto min_back_off = helpers::duration(std::chrono::milliseconds(100));
 constexpr auto max_back_off = helpers::duration(std::chrono::seconds(2));
 
@@ -55,19 +57,14 @@
 }
 
 void outbound_peer::connect() {
-    const auto address = make_socket_address(this->to);
-    if (!address) {
-        this->fail();
-        return;
-    }
-    auto target = *address;
-    this->socket = h2o_socket_connect(this->context.loop.native(), target.generic(), target.length,
-                                      on_connect);
-    if (this->socket == nullptr) {
+    const auto descriptor = open_connection(this->to);
+    if (!descriptor) {
         this->fail();
         return;
     }
+    this->socket = h2o_evloop_socket_create(this->context.loop.native(), *descriptor, 0);
     this->socket->data = this;
+    h2o_socket_notify_write(this->socket, on_connect);
     this->now_in = state::connecting;
     this->connect_timeout = this->context.loop.schedule(connect_wait, [this] {
         this->connect_timeout = 0;
@@ -77,8 +74,11 @@
 
 void outbound_peer::on_connect(h2o_socket_t* socket, const char* error) {
     auto& self = *static_cast<outbound_peer*>(socket->data);
-    if (error != nullptr) {
+    const auto reason = connection_error(h2o_socket_get_fd(socket));
+    if (error != nullptr || reason != 0) {
         self.fail();
+        if (reason == ECONNREFUSED && self.context.on_refused)
+            self.context.on_refused(self.to);
         return;
     }
     set_connection_options(h2o_socket_get_fd(socket));
@@ -89,7 +89,10 @@
 void outbound_peer::on_read(h2o_socket_t* socket, const char* error) {
     auto& self = *static_cast<outbound_peer*>(socket->data);
     if (error != nullptr) {
+        const auto was_ready = self.now_in == state::ready;
         self.fail();
+        if (was_ready)
+            self.connect_again();
         return;
     }
     if (self.now_in == state::greeting)
@@ -118,6 +121,17 @@
     this->flush();
 }
 
+// A connection that ends while in use often means that the process is over; connecting again tells
+// at once.
+void outbound_peer::connect_again() {
+    this->context.loop.cancel(this->flush_task);
+    this->flush_task = this->context.loop.schedule(reconnect_pause, [this] {
+        this->flush_task = 0;
+        if (this->now_in == state::idle)
+            this->connect();
+    });
+}
+
 // Payloads of one turn of the loop leave in one write.
 void outbound_peer::schedule_flush() {
     if (this->write_pending || this->flush_task != 0)
--- a/src/wire/outbound_peer.hpp
+++ b/src/wire/outbound_peer.hpp
@@ -39,6 +39,7 @@
     static void on_written(h2o_socket_t* socket, const char* error);
     void connect();
     void take_greeting();
+    void connect_again();
     void schedule_flush();
     void flush();
     void append(frame_kind kind, std::span<const std::uint8_t> payload);
--- a/src/wire/socket_options.cpp
+++ b/src/wire/socket_options.cpp
@@ -6,7 +6,7 @@
 #include <netinet/tcp.h>
 #include <unistd.h>
 
-#include <array>
+#include <cerrno>
 
 namespace samphirespool::wire {
 
@@ -59,6 +59,26 @@
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_s);
 }
 
+std::optional<int> open_connection(const helpers::endpoint& address) {
+    auto target = make_socket_address(address);
+    if (!target)
+        return std::nullopt;
+    const auto descriptor =
+        ::socket(target->storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return std::nullopt;
+    if (::connect(descriptor, target->generic(), target->length) == 0 || errno == EINPROGRESS)
+        return descriptor;
+    ::close(descriptor);
+    return std::nullopt;
+}
+
+int connection_error(int descriptor) {
+    int error = 0;
+    socklen_t size = sizeof error;
+    return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) == 0 ? error : errno;
+}
+
 std::optional<int> open_listener(helpers::endpoint& address) {
     auto wanted = make_socket_address(address);
     if (!wanted)
--- a/src/wire/socket_options.hpp
+++ b/src/wire/socket_options.hpp
@@ -23,6 +23,12 @@
 // No delay of small writes; a peer that acknowledges nothing for some seconds counts as gone.
 void set_connection_options(int descriptor);
 
+// Starts a non-blocking connection. Returns its socket, or nothing.
+std::optional<int> open_connection(const helpers::endpoint& address);
+
+// Outcome of a connection under way: 0 or the error number.
+int connection_error(int descriptor);
+
 // A listening, non-blocking socket, or nothing. `address` gets the port that was bound.
 std::optional<int> open_listener(helpers::endpoint& address);
 
--- a/src/wire/tcp_transport.hpp
+++ b/src/wire/tcp_transport.hpp
@@ -38,6 +38,11 @@
               std::span<const std::uint8_t> payload) override;
     void receive(frame_kind kind, frame_receiver receiver) override;
 
+    // Sets the one listener for refused connections.
+    void on_refused(std::function<void(const helpers::endpoint&)> listener) {
+        this->context.on_refused = std::move(listener);
+    }
+
     const helpers::endpoint& self() const { return this->context.self; }
     const transport_counters& counters() const { return this->context.counters; }
 
--- a/src/wire/transport_context.hpp
+++ b/src/wire/transport_context.hpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 
 namespace samphirespool::wire {
 
@@ -44,6 +45,8 @@
     helpers::endpoint self;
     helpers::incarnation life;
     transport_counters counters;
+    // Runs when a peer's VM refused the connection: nothing listens at the address.
+    std::function<void(const helpers::endpoint&)> on_refused;
 };
 
 } // namespace samphirespool::wire
--- a/tests/membership/test_failure_detector.cpp
+++ b/tests/membership/test_failure_detector.cpp
@@ -110,17 +110,24 @@
     CHECK(suspected == 0);
 }
 
-TEST_CASE("the list of VMs lets go of dead routers only") {
+TEST_CASE("a refused connection and the list of VMs tell that a process is over") {
     fake_fleet fleet(4);
     fleet.run(20s);
     fleet.stop(3);
     fleet.run(10s);
-    auto& table = fleet.at(0).table;
-    fleet.at(0).detector.confirm({{"router-3"}});
-    CHECK(table.find(fake_fleet::make_record(3, 1).id) != nullptr);
-    fleet.at(0).detector.confirm({});
-    CHECK(table.find(fake_fleet::make_record(3, 1).id) == nullptr);
-    CHECK(table.live_count() == 3);
+    auto& detector = fleet.at(0).detector;
+    detector.confirm({{"router-3"}});
+    CHECK(fleet.health(0, 3) == member_health::dead);
+    detector.confirm({});
+    CHECK(fleet.health(0, 3) == member_health::gone);
+    fleet.stop(2);
+    detector.on_refused(fake_fleet::address(2));
+    CHECK(fleet.health(0, 2) == member_health::gone);
+    // A statement about a live router is refuted by it.
+    detector.on_refused(fake_fleet::address(1));
+    fleet.run(20s);
+    CHECK(fleet.health(0, 1) == member_health::alive);
+    CHECK(fleet.agreed());
 }
 
 TEST_CASE("messages per router and updates per message do not grow with the fleet") {
--- a/tests/wire/test_tcp_transport.cpp
+++ b/tests/wire/test_tcp_transport.cpp
@@ -112,6 +112,8 @@
     int received = 0;
     const auto count = [&](const auto&, auto) { ++received; };
     b->receive(wire::frame_kind::limits, count);
+    int refusals = 0;
+    a->on_refused([&](const auto& refused) { refusals += refused == address ? 1 : 0; });
     const auto send = [&] { a->send(address, wire::frame_kind::limits, wire::bytes{1}); };
     send();
     CHECK(setup.run_steps({
@@ -120,6 +122,8 @@
             b.reset();
             return true;
         },
+        // The end of the process is noticed without sending.
+        [&] { return refusals > 0; },
         // Sending goes on while nobody listens; the payloads are dropped, not queued for ever.
         [&] {
             send();
@@ -135,7 +139,7 @@
             return received >= 2;
         },
     }));
-    CHECK(a->counters().connects >= 2);
+    CHECK(a->counters().connects == 2);
 }
 
 TEST_CASE("garbage on a raw connection is counted and the connection ends") {
