Add share leases: owners, followers, witnesses and the reservation service

Cause: who may send to a target must be decided without the store, with one owner per shard, and two owners must be harmless while views disagree. Change: src/ownership (pure) behind admission::reservation_service: share_reservations on share_manager, which composes share_follower and share_owner per shard; messages in wire/shares_codec. Entry points for the composition: set_services, set_roster, on_message, on_load_report, handed_over. Measured by the tests: after the crash of an owner is known the others serve at full capacity within 300 ms of virtual time; the messages of a request are at most 144 bytes each before framing.

--- /dev/null
+++ b/src/ownership/share_manager.cpp
@@ -0,0 +1,298 @@
+// Shards, owners and the batches of messages of one router.
+#include "ownership/share_manager.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace samphirespool::ownership {
+
+using membership::member_health;
+using membership::member_state;
+
+namespace {
+
+constexpr std::uint64_t sponsored_numbers = 0x5350;
+constexpr auto slow_tick = std::chrono::milliseconds(400);
+
+bool may_serve(const membership::member& candidate, helpers::region_id region) {
+    const auto& record = candidate.record;
+    return record.health == member_health::alive && record.state == member_state::ready &&
+           helpers::id_of<helpers::region_id>(record.region) == region;
+}
+
+} // namespace
+
+share_manager::share_manager(kernel::loop& loop, membership::membership_view& view,
+                             share_outbox& outbox, share_timing timing)
+    : loop(loop),
+      view(view),
+      outbox(outbox),
+      timing(timing),
+      own_region(helpers::id_of<helpers::region_id>(view.self().region)),
+      reservations(view.self().life),
+      sponsored(helpers::incarnation{view.self().life.value ^ sponsored_numbers}),
+      sponsor(*this, *this),
+      next_slow_tick(loop.time().now()) {
+    this->view.on_change([this](helpers::router_id id, const membership::member* now) {
+        this->view_changed = true;
+        if (now == nullptr || now->record.health >= member_health::gone)
+            this->over.push_back(id);
+    });
+    this->tick_timer = this->loop.schedule(this->timing.tick, [this] { this->tick(); });
+}
+
+share_manager::~share_manager() {
+    this->loop.cancel(this->tick_timer);
+    this->loop.cancel(this->flush_timer);
+}
+
+void share_manager::set_services(std::span<const service_targets> services) {
+    std::map<shard_id, shard_state> wanted;
+    std::set<std::pair<helpers::service_id, helpers::region_id>> seen_before;
+    for (const auto& [id, state] : this->states)
+        seen_before.emplace(state.service, state.region);
+    this->shard_by_target.clear();
+    for (const auto& service : services) {
+        const auto count = std::max(1U, service.shards);
+        for (std::uint32_t index = 0; index < count; ++index) {
+            auto& state = wanted[make_shard(service.service, service.region, index, count)];
+            state.service = service.service;
+            state.region = service.region;
+            state.load_multiple = service.load_multiple;
+        }
+        for (const auto& target : service.targets) {
+            const auto index = shard_index(target.id, count);
+            const auto shard = make_shard(service.service, service.region, index, count);
+            wanted[shard].targets.push_back(target);
+            this->shard_by_target[target.id] = shard;
+        }
+    }
+    std::erase_if(this->states, [&](const auto& item) { return !wanted.contains(item.first); });
+    for (auto& [id, fresh] : wanted) {
+        const auto split_anew =
+            !this->states.contains(id) && seen_before.contains({fresh.service, fresh.region});
+        this->add_shard(id, fresh, split_anew);
+    }
+    for (auto& [number, held] : this->reservations.all()) {
+        const auto shard = held.granted ? this->shard_of(held.target) : std::nullopt;
+        if (shard)
+            held.request.shard = *shard;
+    }
+    this->view_changed = true;
+}
+
+void share_manager::add_shard(shard_id id, shard_state& fresh, bool split_anew) {
+    auto& state = this->states[id];
+    state.service = fresh.service;
+    state.region = fresh.region;
+    state.load_multiple = fresh.load_multiple;
+    state.targets = std::move(fresh.targets);
+    if (state.region == this->own_region && !state.follower) {
+        const auto& time = this->loop.time();
+        state.follower = std::make_unique<share_follower>(time, this->view, *this, this->timing,
+                                                          this->reservations, this->book, id);
+        state.owner = std::make_unique<share_owner>(time, this->view, *this, this->timing, id);
+        state.follower->set_roster(this->roster);
+        state.owner->set_roster(this->roster);
+        if (split_anew)
+            state.follower->wait_for_earlier_promises();
+    }
+    if (state.owner)
+        state.owner->set_targets(state.targets, state.load_multiple);
+}
+
+void share_manager::set_roster(const membership::roster& fresh) {
+    this->roster = fresh;
+    for (auto& [id, state] : this->states) {
+        if (!state.follower)
+            continue;
+        state.follower->set_roster(fresh);
+        state.owner->set_roster(fresh);
+    }
+    this->view_changed = true;
+}
+
+std::optional<shard_id> share_manager::shard_of(helpers::target_id target) const {
+    const auto found = this->shard_by_target.find(target);
+    return found == this->shard_by_target.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<helpers::router_id> share_manager::desired_owner(shard_id id) const {
+    std::optional<helpers::router_id> best;
+    for (const auto& entry : this->roster.members) {
+        const auto* candidate = this->view.find(entry.id);
+        if (candidate == nullptr || !may_serve(*candidate, this->own_region))
+            continue;
+        if (!best || owner_score(id, entry.id) > owner_score(id, *best))
+            best = entry.id;
+    }
+    return best;
+}
+
+// Follows the view of the members; also closes this router's part as owner before it follows
+// another one.
+void share_manager::update_owners() {
+    this->view_changed = false;
+    const auto ended = std::exchange(this->over, {});
+    for (auto& [id, state] : this->states) {
+        if (!state.follower)
+            continue;
+        for (const auto router : ended)
+            state.owner->on_over(router);
+        state.follower->set_desired(this->desired_owner(id));
+        this->follow_own_part(id, state);
+    }
+    for (const auto router : ended)
+        this->sponsor.on_over(router);
+}
+
+void share_manager::follow_own_part(shard_id id, shard_state& state) {
+    const auto follows_itself = state.follower->owner() == this->view.self().id;
+    if (follows_itself == state.owner->open_now())
+        return;
+    if (follows_itself) {
+        state.owner->open();
+        return;
+    }
+    const auto now = this->loop.time().now();
+    for (const auto& record : state.owner->close())
+        this->book.add(id, record, now);
+}
+
+void share_manager::tick() {
+    this->tick_timer = this->loop.schedule(this->timing.tick, [this] { this->tick(); });
+    if (this->view_changed)
+        this->update_owners();
+    for (auto& [id, state] : this->states)
+        this->update_shard(id, state);
+    const auto now = this->loop.time().now();
+    if (now < this->next_slow_tick)
+        return;
+    this->next_slow_tick = now + slow_tick;
+    this->share_loads();
+    this->retry_sponsored();
+    this->end_expired();
+    this->book.forget_ended(now);
+}
+
+void share_manager::update_shard(shard_id id, shard_state& state) {
+    if (!state.follower)
+        return;
+    state.follower->tick();
+    this->follow_own_part(id, state);
+    state.owner->tick();
+}
+
+// The bound of a target depends on the load of all of its service's targets in the region.
+void share_manager::share_loads() {
+    for (auto& [id, state] : this->states) {
+        if (!state.owner || !state.owner->open_now())
+            continue;
+        admission::outside_load others;
+        for (const auto& [other_id, other] : this->states) {
+            if (other_id == id || other.service != state.service || other.region != state.region)
+                continue;
+            others.tokens += other.load.tokens;
+            others.warm_targets += other.load.warm_targets;
+        }
+        state.owner->set_outside_load(others);
+    }
+}
+
+// A holder that says nothing more has ended its request by its deadline.
+void share_manager::end_expired() {
+    const auto limit = this->loop.time().now() - this->timing.end_grace;
+    std::vector<reservation_number> ended;
+    for (const auto& [number, held] : this->reservations.all()) {
+        if (held.request.sponsored && held.deadline <= limit)
+            ended.push_back(number);
+    }
+    for (const auto number : ended) {
+        this->sponsor.forget(number);
+        this->finish(number, admission::release::result::cancelled, {});
+    }
+}
+
+share_message& share_manager::to(helpers::router_id receiver) {
+    if (this->flush_timer == 0)
+        this->flush_timer = this->loop.schedule(helpers::duration::zero(), [this] {
+            this->flush_timer = 0;
+            this->flush();
+        });
+    return this->batches[receiver];
+}
+
+void share_manager::flush() {
+    const auto ready = std::exchange(this->batches, {});
+    for (const auto& [id, batch] : ready) {
+        auto content = batch;
+        content.sender = this->view.self().id;
+        content.life = this->view.self().life;
+        const auto* receiver = this->view.find(id);
+        if (id == this->view.self().id)
+            this->on_message(content);
+        else if (receiver != nullptr)
+            this->outbox.send(receiver->record.address, content);
+    }
+}
+
+std::vector<helpers::target_id> share_manager::owned_targets() const {
+    std::vector<helpers::target_id> owned;
+    for (const auto& [id, state] : this->states) {
+        if (!state.owner || !state.owner->open_now())
+            continue;
+        for (const auto& target : state.targets)
+            owned.push_back(target.id);
+    }
+    return owned;
+}
+
+bool share_manager::handed_over() const {
+    return std::none_of(this->states.begin(), this->states.end(), [](const auto& item) {
+        return item.second.owner && item.second.owner->open_now();
+    });
+}
+
+const share_owner* share_manager::owner_of(shard_id shard) const {
+    const auto found = this->states.find(shard);
+    return found == this->states.end() ? nullptr : found->second.owner.get();
+}
+
+std::optional<helpers::router_id> share_manager::followed(shard_id shard) const {
+    const auto found = this->states.find(shard);
+    if (found == this->states.end() || !found->second.follower)
+        return std::nullopt;
+    return found->second.follower->registered() ? found->second.follower->owner() : std::nullopt;
+}
+
+std::size_t share_manager::outstanding() const {
+    const auto granted = [](const auto& table) {
+        return std::count_if(table.begin(), table.end(),
+                             [](const auto& item) { return item.second.granted; });
+    };
+    return static_cast<std::size_t>(granted(this->reservations.all()) +
+                                    granted(this->sponsored.all()));
+}
+
+std::vector<shard_id> share_manager::shards() const {
+    std::vector<shard_id> result;
+    for (const auto& [id, state] : this->states)
+        result.push_back(id);
+    return result;
+}
+
+void share_manager::on_load_report(helpers::target_id target,
+                                   const admission::load_report& report) {
+    const auto shard = this->shard_of(target);
+    auto* state = shard ? this->own_shard(*shard) : nullptr;
+    if (state != nullptr && state->owner->open_now())
+        state->owner->on_load_report(target, report);
+}
+
+share_manager::shard_state* share_manager::own_shard(shard_id id) {
+    const auto found = this->states.find(id);
+    return found == this->states.end() || !found->second.follower ? nullptr : &found->second;
+}
+
+} // namespace samphirespool::ownership
--- a/src/wire/payload_check.cpp
+++ b/src/wire/payload_check.cpp
@@ -4,6 +4,7 @@
 #include "wire/frame_codec.hpp"
 #include "wire/generated/hello_generated.h"
 #include "wire/generated/membership_generated.h"
+#include "wire/generated/shares_generated.h"
 
 #include <array>
 #include <cstddef>
@@ -23,6 +24,8 @@
     kind_check{hello_kind, [](flatbuffers::Verifier& v) { return fb::VerifyhelloBuffer(v); }},
     kind_check{frame_kind::membership,
                [](flatbuffers::Verifier& v) { return fb::Verifymembership_messageBuffer(v); }},
+    kind_check{frame_kind::shares,
+               [](flatbuffers::Verifier& v) { return fb::Verifyshare_messageBuffer(v); }},
 };
 
 } // namespace
--- /dev/null
+++ b/tests/ownership/fake_region.hpp
@@ -0,0 +1,288 @@
+// Routers of one region with their share managers over an in-memory network that loses, delays and
+// parts messages; routers can crash, sleep and wake. What each router believes of the others is
+// set by the test. After every step the region checks that no target bears more than its capacity.
+#pragma once
+
+#include "kernel/loop.hpp"
+#include "kernel/random.hpp"
+#include "membership/member_table.hpp"
+#include "ownership/share_reservations.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace samphirespool::tests {
+
+// The loop of one process: while the process sleeps its due tasks pile up.
+class process_loop final : public kernel::loop {
+public:
+    explicit process_loop(kernel::manual_loop& base) : base(base) {}
+    const kernel::clock& time() const override { return this->base.time(); }
+    kernel::timer_id schedule(helpers::duration delay, kernel::task work) override {
+        const auto id = ++this->last_id;
+        this->tasks[id] = std::move(work);
+        this->base.schedule(delay, [this, id, alive = std::weak_ptr(this->life)] {
+            if (!alive.expired())
+                this->run(id);
+        });
+        return id;
+    }
+    void cancel(kernel::timer_id id) override { this->tasks.erase(id); }
+    void sleep() { this->asleep = true; }
+    void wake() {
+        this->asleep = false;
+        const auto due = std::exchange(this->backlog, {});
+        for (const auto id : due)
+            this->run(id);
+    }
+
+private:
+    void run(kernel::timer_id id) {
+        if (this->asleep) {
+            this->backlog.push_back(id);
+            return;
+        }
+        auto task = this->tasks.extract(id);
+        if (!task.empty())
+            task.mapped()();
+    }
+
+    kernel::manual_loop& base;
+    std::shared_ptr<int> life = std::make_shared<int>(0);
+    std::map<kernel::timer_id, kernel::task> tasks;
+    std::vector<kernel::timer_id> backlog;
+    kernel::timer_id last_id = 0;
+    bool asleep = false;
+};
+
+struct region_shape {
+    std::size_t routers = 4;
+    std::uint32_t capacity = 4;
+    // Routers with the same number share a data centre; empty: all in one.
+    std::vector<int> data_centres;
+    std::size_t targets = 1;
+};
+
+class fake_region {
+public:
+    struct router final : ownership::share_outbox {
+        router(fake_region& region, std::size_t index, std::uint64_t life)
+            : region(region),
+              index(index),
+              loop(region.loop),
+              view(region.loop.time(), region.make_record(index, life)),
+              manager(this->loop, this->view, *this),
+              reservations(this->loop, this->manager) {}
+        void send(const helpers::endpoint& to, const ownership::share_message& content) override {
+            this->region.deliver(this->index, static_cast<std::size_t>(to.port), content);
+        }
+
+        fake_region& region;
+        std::size_t index;
+        process_loop loop;
+        membership::member_table view;
+        ownership::share_manager manager;
+        ownership::share_reservations reservations;
+        std::uint64_t next_request = 0;
+        // Grants in use, by target.
+        std::map<helpers::target_id, std::vector<admission::grant_id>> in_use;
+        std::size_t refused = 0;
+    };
+
+    explicit fake_region(region_shape shape, std::uint64_t seed = 1)
+        : shape(std::move(shape)), random(seed) {
+        for (std::size_t i = 0; i < this->shape.targets; ++i)
+            this->targets.push_back(helpers::target_id{1000 + i});
+        this->roster.version = 1;
+        for (std::size_t i = 0; i < this->shape.routers; ++i)
+            this->roster.members.push_back(this->make_entry(i, 1));
+        std::sort(this->roster.members.begin(), this->roster.members.end(),
+                  [](const auto& a, const auto& b) { return a.id < b.id; });
+        for (std::size_t i = 0; i < this->shape.routers; ++i)
+            this->start(i, 1);
+    }
+
+    static helpers::router_id id(std::size_t index) { return helpers::router_id{1 + index}; }
+
+    membership::roster_entry make_entry(std::size_t index, std::uint64_t life) const {
+        return {id(index), helpers::incarnation{life}, this->data_centre(index)};
+    }
+    std::string data_centre(std::size_t index) const {
+        return this->shape.data_centres.empty()
+                   ? "dc"
+                   : "dc-" + std::to_string(this->shape.data_centres.at(index));
+    }
+    membership::member_record make_record(std::size_t index, std::uint64_t life) const {
+        membership::member_record record;
+        record.id = id(index);
+        record.name = "router-" + std::to_string(index);
+        record.address = {"10.0.0.1", static_cast<std::uint16_t>(index)};
+        record.region = "region";
+        record.data_centre = this->data_centre(index);
+        record.life = helpers::incarnation{life};
+        record.state = membership::member_state::ready;
+        return record;
+    }
+
+    router& start(std::size_t index, std::uint64_t life) {
+        this->routers.erase(index);
+        this->lives[index] = life;
+        auto& fresh = *(this->routers[index] = std::make_unique<router>(*this, index, life));
+        for (auto& [other, running] : this->routers) {
+            running->view.merge(this->make_record(index, life));
+            fresh.view.merge(this->make_record(other, this->lives[other]));
+        }
+        fresh.manager.set_roster(this->roster);
+        this->set_services(fresh);
+        return fresh;
+    }
+
+    void set_services(router& of) {
+        ownership::service_targets service{
+            helpers::service_id{7}, helpers::id_of<helpers::region_id>("region"), 1, 1000.0, {}};
+        for (const auto target : this->targets)
+            service.targets.push_back(
+                {target, 1, this->shape.capacity, this->shape.capacity, true});
+        of.manager.set_services(std::span(&service, 1));
+    }
+
+    void crash(std::size_t index) { this->routers.erase(index); }
+    void sleep(std::size_t index) {
+        this->asleep.insert(index);
+        this->at(index).loop.sleep();
+    }
+    void wake(std::size_t index) {
+        this->asleep.erase(index);
+        this->at(index).loop.wake();
+    }
+    router& at(std::size_t index) { return *this->routers.at(index); }
+
+    // What `by` believes of `index` from now on.
+    void judge(std::size_t by, std::size_t index, membership::member_health health) {
+        if (by == index || !this->routers.contains(by))
+            return;
+        auto& view = this->at(by).view;
+        const auto* known = view.find(id(index));
+        if (known != nullptr && health == membership::member_health::alive &&
+            known->record.health != health) {
+            auto back = known->record;
+            back.health = health;
+            ++back.sequence;
+            back.life = helpers::incarnation{this->lives[index]};
+            view.merge(back);
+            return;
+        }
+        view.judge(id(index), health);
+    }
+    void judge_all(std::size_t index, membership::member_health health) {
+        for (auto& [by, running] : this->routers)
+            this->judge(by, index, health);
+    }
+    void set_roster(membership::roster fresh) {
+        this->roster = std::move(fresh);
+        for (auto& [index, running] : this->routers)
+            running->manager.set_roster(this->roster);
+    }
+
+    // Starts a request at the router.
+    void request(std::size_t at, helpers::duration deadline = std::chrono::seconds(60)) {
+        auto& by = this->at(at);
+        admission::reservation_request wanted;
+        wanted.request = {id(at), helpers::incarnation{this->lives[at]}, ++by.next_request};
+        wanted.candidates = this->targets;
+        wanted.deadline = this->loop.time().now() + deadline;
+        by.reservations.reserve(wanted, [this, &by](const admission::reservation_answer& answer) {
+            if (answer.granted)
+                by.in_use[answer.given.target].push_back(answer.given.id);
+            else
+                ++by.refused;
+            this->check();
+        });
+    }
+    void finish_one(std::size_t at,
+                    admission::release::result how = admission::release::result::success) {
+        for (auto& [target, grants] : this->at(at).in_use) {
+            if (grants.empty())
+                continue;
+            const auto grant = grants.back();
+            grants.pop_back();
+            this->at(at).reservations.finish({grant, how, std::chrono::milliseconds(5)});
+            return;
+        }
+    }
+    std::size_t in_use(std::size_t at) {
+        std::size_t count = 0;
+        for (const auto& [target, grants] : this->at(at).in_use)
+            count += grants.size();
+        return count;
+    }
+    std::size_t in_use() {
+        std::size_t count = 0;
+        for (const auto& [index, running] : this->routers)
+            count += this->in_use(index);
+        return count;
+    }
+
+    void run(helpers::duration time) { this->loop.advance(time); }
+    ownership::shard_id shard() { return this->routers.begin()->second->manager.shards().front(); }
+    std::size_t owner() {
+        for (auto& [index, running] : this->routers) {
+            const auto* owner = running->manager.owner_of(this->shard());
+            if (owner != nullptr && owner->open_now())
+                return index;
+        }
+        return this->shape.routers;
+    }
+
+    // Counts also what sleeping routers hold: their requests go on at the targets.
+    void check() {
+        for (const auto target : this->targets) {
+            std::size_t sum = 0;
+            for (const auto& [index, running] : this->routers) {
+                const auto found = running->in_use.find(target);
+                sum += found == running->in_use.end() ? 0 : found->second.size();
+            }
+            this->most = std::max(this->most, sum);
+            if (sum > this->shape.capacity)
+                ++this->violations;
+        }
+    }
+
+    region_shape shape;
+    kernel::manual_loop loop;
+    kernel::random_source random;
+    std::vector<helpers::target_id> targets;
+    membership::roster roster;
+    std::map<std::size_t, std::unique_ptr<router>> routers;
+    std::map<std::size_t, std::uint64_t> lives;
+    std::set<std::size_t> asleep;
+    double loss = 0;
+    helpers::duration longest_delay = std::chrono::milliseconds(3);
+    std::function<bool(std::size_t, std::size_t)> connected = [](auto, auto) { return true; };
+    std::size_t violations = 0;
+    std::size_t most = 0;
+    std::uint64_t messages = 0;
+
+private:
+    void deliver(std::size_t from, std::size_t to, const ownership::share_message& content) {
+        ++this->messages;
+        if (this->random.fraction() < this->loss || !this->connected(from, to))
+            return;
+        const auto span = static_cast<std::uint64_t>(this->longest_delay.count());
+        const helpers::duration delay(static_cast<std::int64_t>(1 + this->random.below(span)));
+        this->loop.schedule(delay, [this, to, content] {
+            const auto found = this->routers.find(to);
+            if (found == this->routers.end())
+                return;
+            // A sleeping process reads its sockets when it wakes.
+            auto& receiver = *found->second;
+            receiver.loop.post([&receiver, content] { receiver.manager.on_message(content); });
+        });
+    }
+};
+
+} // namespace samphirespool::tests
--- /dev/null
+++ b/tests/ownership/test_share_leases.cpp
@@ -0,0 +1,277 @@
+// Tests of share leases: ordinary operation, the trap of lent shares in use, two owners, sleep and
+// wake, crashes, hand-over, and random schedules.
+#include "tests/ownership/fake_region.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace samphirespool;
+using namespace std::chrono_literals;
+using membership::member_health;
+using tests::fake_region;
+
+namespace {
+
+void request_everywhere(fake_region& region, int times) {
+    for (int i = 0; i < times; ++i) {
+        for (const auto& [index, running] : region.routers)
+            region.request(index);
+    }
+}
+
+std::size_t other_than(std::size_t owner) {
+    return owner == 0 ? 1 : 0;
+}
+
+} // namespace
+
+TEST_CASE("one router can use the whole pool, and a free slot goes to who waits") {
+    fake_region region({4, 4});
+    region.run(1s);
+    const auto user = other_than(region.owner());
+    for (int i = 0; i < 6; ++i)
+        region.request(user);
+    region.run(100ms);
+    CHECK(region.in_use(user) == 4);
+    region.finish_one(user);
+    region.run(100ms);
+    CHECK(region.in_use(user) == 4);
+    CHECK(region.violations == 0);
+}
+
+TEST_CASE("a small pool serves eight routers although most shares are empty") {
+    fake_region region({8, 2});
+    region.run(1s);
+    request_everywhere(region, 1);
+    for (int i = 0; i < 8; ++i) {
+        region.run(100ms);
+        CHECK(region.in_use() == std::min<std::size_t>(2, 8 - static_cast<std::size_t>(i)));
+        for (const auto& [index, running] : region.routers) {
+            if (region.in_use(index) > 0) {
+                region.finish_one(index);
+                break;
+            }
+        }
+    }
+    region.run(100ms);
+    CHECK(region.in_use() == 0);
+    CHECK(region.violations == 0);
+}
+
+TEST_CASE("a request that finds no room in time is refused and leaves nothing behind") {
+    fake_region region({4, 4});
+    region.run(1s);
+    const auto user = other_than(region.owner());
+    for (int i = 0; i < 4; ++i)
+        region.request(user);
+    region.run(100ms);
+    region.request(user, 200ms);
+    region.run(1s);
+    CHECK(region.at(user).refused == 1);
+    CHECK(region.at(user).reservations.waiting() == 0);
+}
+
+// Four members with a slot each follow one owner; one router uses all four slots; the other three
+// lose the owner and follow a new one that hears of nothing outstanding.
+TEST_CASE("the trap: lent shares that another router uses stay encumbered") {
+    fake_region region({4, 4});
+    region.run(1s);
+    const auto owner = region.owner();
+    const auto user = other_than(owner);
+    for (int i = 0; i < 4; ++i)
+        region.request(user);
+    region.run(100ms);
+    REQUIRE(region.in_use(user) == 4);
+    const auto minority = [&](std::size_t index) { return index == owner || index == user; };
+    region.connected = [&](auto a, auto b) { return minority(a) == minority(b); };
+    region.run(1s);
+    for (std::size_t by = 0; by < 4; ++by) {
+        for (std::size_t of = 0; of < 4; ++of) {
+            if (minority(by) != minority(of))
+                region.judge(by, of, member_health::dead);
+        }
+    }
+    region.run(1s);
+    for (std::size_t index = 0; index < 4; ++index) {
+        if (!minority(index))
+            region.request(index, 20min);
+    }
+    region.run(30s);
+    CHECK(region.in_use() == 4);
+    // Once the longest life of a grant has passed the cut-off shares are free again.
+    for (int i = 0; i < 4; ++i)
+        region.finish_one(user);
+    region.run(12min);
+    CHECK(region.in_use() == 2);
+    CHECK(region.violations == 0);
+}
+
+TEST_CASE("a crashed owner: the others serve at full capacity within a second and a half") {
+    fake_region region({4, 4});
+    region.run(1s);
+    const auto owner = region.owner();
+    const auto user = other_than(owner);
+    region.request(user);
+    region.run(100ms);
+    region.crash(owner);
+    region.run(100ms);
+    region.judge_all(owner, member_health::gone);
+    for (int i = 0; i < 6; ++i)
+        region.request(user);
+    region.run(300ms);
+    CHECK(region.in_use(user) == 4);
+    CHECK(region.violations == 0);
+}
+
+TEST_CASE("a sleeping owner: the others go on with their shares, less what it holds itself") {
+    fake_region region({4, 4});
+    region.run(1s);
+    const auto owner = region.owner();
+    region.request(owner);
+    region.request(owner);
+    region.run(100ms);
+    REQUIRE(region.in_use(owner) == 2);
+    region.sleep(owner);
+    region.run(1500ms);
+    region.judge_all(owner, member_health::dead);
+    request_everywhere(region, 3);
+    region.run(1500ms);
+    CHECK(region.in_use() == 3);
+    region.wake(owner);
+    region.run(3s);
+    for (std::size_t i = 0; i < 4; ++i) {
+        for (std::size_t by = 0; by < 4; ++by)
+            region.judge(by, i, member_health::alive);
+    }
+    region.run(5s);
+    CHECK(region.in_use() == 4);
+    CHECK(region.violations == 0);
+}
+
+TEST_CASE("a lost data centre does not stop the others") {
+    fake_region region({8, 16, {0, 0, 1, 1, 2, 2, 3, 3}});
+    region.run(1s);
+    const auto owner = region.owner();
+    request_everywhere(region, 1);
+    region.run(100ms);
+    CHECK(region.in_use() == 8);
+    const auto lost = owner / 2;
+    region.sleep(2 * lost);
+    region.sleep(2 * lost + 1);
+    region.run(1500ms);
+    region.judge_all(2 * lost, member_health::dead);
+    region.judge_all(2 * lost + 1, member_health::dead);
+    for (std::size_t i = 0; i < 8; ++i) {
+        if (i / 2 != lost) {
+            region.request(i);
+            region.request(i);
+        }
+    }
+    region.run(2s);
+    // Twelve slots are lent; eight grants from before are known and still run.
+    CHECK(region.in_use() == 12);
+    CHECK(region.violations == 0);
+}
+
+TEST_CASE("two owners by disagreeing views never exceed the capacity together") {
+    fake_region region({6, 6});
+    region.run(1s);
+    const auto owner = region.owner();
+    // Half of the routers hold the owner for dead although it answers them.
+    for (std::size_t by = 0; by < 6; by += 2)
+        region.judge(by, owner, member_health::dead);
+    for (int i = 0; i < 40; ++i) {
+        request_everywhere(region, 1);
+        region.run(200ms);
+        for (std::size_t at = 0; at < 6; ++at)
+            region.finish_one(at);
+    }
+    CHECK(region.violations == 0);
+}
+
+TEST_CASE("a leaving owner hands its shards over at once and no request ends") {
+    fake_region region({4, 4});
+    region.run(1s);
+    const auto owner = region.owner();
+    const auto user = other_than(owner);
+    region.request(user);
+    region.request(owner);
+    region.run(100ms);
+    region.at(owner).view.change_self(membership::member_state::leaving, member_health::alive);
+    for (auto& [index, running] : region.routers)
+        running->view.merge(region.at(owner).view.self());
+    region.run(200ms);
+    CHECK(region.at(owner).manager.handed_over());
+    for (int i = 0; i < 4; ++i)
+        region.request(user);
+    region.run(200ms);
+    CHECK(region.in_use() == 4);
+    CHECK(region.in_use(owner) == 1);
+    CHECK(region.violations == 0);
+}
+
+TEST_CASE("all routers restart at once and serve at full capacity") {
+    fake_region region({4, 4});
+    region.run(1s);
+    request_everywhere(region, 2);
+    region.run(100ms);
+    for (std::size_t i = 0; i < 4; ++i)
+        region.start(i, 2);
+    region.run(2s);
+    request_everywhere(region, 2);
+    region.run(500ms);
+    CHECK(region.in_use() == 4);
+    CHECK(region.violations == 0);
+}
+
+TEST_CASE("a lost release is made good by registering again") {
+    fake_region region({4, 4});
+    region.run(1s);
+    const auto user = other_than(region.owner());
+    for (int i = 0; i < 4; ++i)
+        region.request(user);
+    region.run(100ms);
+    region.connected = [](auto, auto) { return false; };
+    for (int i = 0; i < 4; ++i)
+        region.finish_one(user);
+    region.run(50ms);
+    region.connected = [](auto, auto) { return true; };
+    region.run(3s);
+    for (int i = 0; i < 4; ++i)
+        region.request(user);
+    region.run(200ms);
+    CHECK(region.in_use(user) == 4);
+}
+
+TEST_CASE("a router that is no member reserves through one that is") {
+    fake_region region({4, 4});
+    region.run(1s);
+    region.start(4, 1);
+    region.run(1s);
+    for (int i = 0; i < 6; ++i)
+        region.request(4);
+    region.run(500ms);
+    CHECK(region.in_use(4) == 4);
+    region.finish_one(4);
+    region.run(1s);
+    CHECK(region.in_use(4) == 4);
+    CHECK(region.violations == 0);
+}
+
+TEST_CASE("owners of the region's shards are spread over the routers") {
+    std::map<helpers::router_id, int> owned;
+    for (std::uint32_t index = 0; index < 800; ++index) {
+        const auto shard =
+            ownership::make_shard(helpers::service_id{1}, helpers::region_id{2}, index, 800);
+        helpers::router_id best;
+        for (std::size_t i = 0; i < 8; ++i) {
+            const auto candidate = fake_region::id(i);
+            if (best.value == 0 ||
+                ownership::owner_score(shard, candidate) > ownership::owner_score(shard, best))
+                best = candidate;
+        }
+        ++owned[best];
+    }
+    CHECK(owned.size() == 8);
+    for (const auto& [id, count] : owned)
+        CHECK(count > 60);
+}
--- /dev/null
+++ b/tests/wire/test_shares_codec.cpp
@@ -0,0 +1,79 @@
+// Tests of the codec of the share leases' messages.
+#include "kernel/random.hpp"
+#include "wire/shares_codec.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace samphirespool;
+using namespace std::chrono_literals;
+
+namespace {
+
+const helpers::time_point at{helpers::duration(123456789)};
+const ownership::outstanding_record record{
+    helpers::router_id{1}, 2, helpers::target_id{3}, 4, 5, 6, 700ms, true};
+
+ownership::share_message make_message() {
+    ownership::share_message content;
+    content.sender = helpers::router_id{11};
+    content.life = helpers::incarnation{12};
+    const ownership::shard_id shard{13};
+    content.follows = {{shard}};
+    content.challenges = {{shard, at, true, 14, 15}};
+    content.promises = {
+        {shard, at, helpers::incarnation{16}, true, true, true, 17ms, 18, 19, {record, record}}};
+    content.unfollows = {{shard}};
+    content.released = {{shard, at}};
+    content.reserves = {
+        {shard, 20, 21, 22ms, true, true, {helpers::target_id{23}, helpers::target_id{24}}}};
+    content.grants = {{shard, 25, helpers::target_id{26}, at, 27, 28, true}};
+    content.full = {{shard, 29, true, true}};
+    content.finishes = {{shard, 30, admission::release::result::cancelled, 31us, true}};
+    content.witnesses = {{shard, record}};
+    content.witness_answers = {{shard, helpers::router_id{32}, 33, true}};
+    content.witness_drops = {{shard, helpers::router_id{34}, 35}};
+    return content;
+}
+
+} // namespace
+
+TEST_CASE("a message of the share leases survives encoding") {
+    const auto first = wire::encode_shares(make_message());
+    const auto decoded = wire::decode_shares(first).value();
+    CHECK(wire::encode_shares(decoded) == first);
+    CHECK(decoded.sender.value == 11);
+    CHECK(decoded.promises.at(0).records.at(1).remaining == 700ms);
+    CHECK(decoded.promises.at(0).encumbered == 17ms);
+    CHECK(decoded.reserves.at(0).candidates.at(1).value == 24);
+    CHECK(decoded.grants.at(0).time == at);
+    CHECK(decoded.finishes.at(0).first_byte == 31us);
+    CHECK(decoded.witnesses.at(0).record.requester.value == 1);
+    CHECK(decoded.witness_answers.at(0).accepted);
+    CHECK(decoded.challenges.at(0).register_again);
+}
+
+TEST_CASE("the messages of one request stay near a hundred bytes each") {
+    const ownership::shard_id shard{13};
+    ownership::share_message reserve;
+    reserve.reserves = {{shard, 20, 21, 22ms, true, false, {helpers::target_id{23}}}};
+    ownership::share_message grant;
+    grant.grants = {{shard, 25, helpers::target_id{26}, at, 27, 28, false}};
+    ownership::share_message finish;
+    finish.finishes = {{shard, 30, admission::release::result::success, 31us, false}};
+    CHECK(wire::encode_shares(reserve).size() <= 144);
+    CHECK(wire::encode_shares(grant).size() <= 144);
+    CHECK(wire::encode_shares(finish).size() <= 112);
+}
+
+TEST_CASE("mutated messages of the share leases are decoded or refused") {
+    kernel::random_source random(6);
+    const auto original = wire::encode_shares(make_message());
+    int refused = 0;
+    for (int round = 0; round < 20'000; ++round) {
+        auto mutated = original;
+        for (int i = 0; i < 3; ++i)
+            mutated[random.below(mutated.size())] = static_cast<std::uint8_t>(random.next());
+        refused += wire::decode_shares(mutated) ? 0 : 1;
+    }
+    CHECK(refused > 1000);
+}
