--- /dev/null
+++ b/src/request/request_state.cpp
@@ -0,0 +1,182 @@
+// The rules of retry, resumption and outcome.
+#include "request/request_state.hpp"
+
+#include <algorithm>
+
+namespace samphirespool::request {
+
+using kernel::error_kind;
+using kernel::request_outcome;
+
+namespace {
+
+request_outcome outcome_of(phase at) {
+    if (at == phase::answered)
+        return request_outcome::answered;
+    return at == phase::not_run ? request_outcome::not_run : request_outcome::unknown;
+}
+
+} // namespace
+
+request_state::request_state(const request_traits& traits, retry_budget& budget)
+    : properties(traits), budget(budget) {
+    this->budget.note_request();
+}
+
+bool request_state::advance(step by) {
+    const auto next = next_phase(this->current, by);
+    if (next == phase::count)
+        return false;
+    this->current = next;
+    return true;
+}
+
+bool request_state::holds_grant() const {
+    return this->current == phase::connecting || this->current == phase::connecting_again ||
+           this->current == phase::sent || this->current == phase::answering ||
+           this->current == phase::resuming;
+}
+
+bool request_state::may_use(helpers::target_id target) const {
+    return std::ranges::find(this->targets_tried, target) == this->targets_tried.end();
+}
+
+helpers::duration request_state::remaining(helpers::time_point now) const {
+    return std::max(helpers::duration::zero(), this->properties.deadline - now);
+}
+
+decision request_state::finish(step by, error_kind kind) {
+    decision made;
+    const bool grant = this->holds_grant();
+    const bool may_be_running = this->current == phase::sent || this->current == phase::answering ||
+                                this->current == phase::resuming;
+    if (!this->advance(by))
+        return made;
+    made.what = action::finish;
+    made.release_grant = grant;
+    made.cancel_target = by == step::given_up && may_be_running;
+    made.outcome = outcome_of(this->current);
+    made.kind = kind;
+    return made;
+}
+
+decision request_state::turn_given(helpers::time_point now) {
+    if (this->current != phase::waiting_turn)
+        return {};
+    if (!this->in_time(now))
+        return this->give_up(error_kind::deadline_exceeded);
+    const bool claims = this->properties.needs_claim;
+    this->advance(claims ? step::turn_given_with_claim : step::turn_given);
+    return {.what = claims ? action::claim : action::reserve};
+}
+
+decision request_state::claim_held(helpers::time_point valid_until, helpers::time_point now) {
+    if (this->current != phase::claiming)
+        return {};
+    if (!this->in_time(now))
+        return this->give_up(error_kind::deadline_exceeded);
+    this->claim_valid_until = valid_until;
+    this->advance(step::claim_held);
+    return {.what = action::reserve};
+}
+
+decision request_state::granted(helpers::target_id target, helpers::time_point usable_until) {
+    if (!this->advance(step::granted)) {
+        // A grant that nobody waits for any more goes back unused.
+        return {.release_grant = true};
+    }
+    this->send_before = usable_until;
+    if (!this->may_use(target))
+        return this->try_elsewhere(step::attempt_unsent);
+    this->targets_tried.push_back(target);
+    return {.what = action::connect};
+}
+
+decision request_state::connected(helpers::time_point now) {
+    if (this->current != phase::connecting && this->current != phase::connecting_again)
+        return {};
+    if (!this->in_time(now))
+        return this->give_up(error_kind::deadline_exceeded);
+    if (this->claim_valid_until && now >= *this->claim_valid_until)
+        return this->give_up(error_kind::claim_unavailable);
+    if (now >= this->send_before) {
+        // The grant lapsed on the way; the target itself is not at fault.
+        this->targets_tried.pop_back();
+        return this->try_elsewhere(step::attempt_unsent);
+    }
+    this->advance(step::bytes_handed);
+    ++this->sends;
+    return {.what = action::send};
+}
+
+decision request_state::connect_failed(helpers::time_point now) {
+    if (this->current != phase::connecting && this->current != phase::connecting_again)
+        return {};
+    if (!this->in_time(now))
+        return this->give_up(error_kind::deadline_exceeded);
+    return this->try_elsewhere(step::attempt_unsent);
+}
+
+decision request_state::try_elsewhere(step by) {
+    if (this->targets_tried.size() >= this->properties.max_attempts)
+        return this->give_up(error_kind::target_unreachable);
+    this->advance(by);
+    return {.what = action::reserve, .release_grant = true};
+}
+
+decision request_state::attempt_failed(bool has_answer, helpers::time_point now) {
+    if (this->current != phase::sent)
+        return {};
+    const bool allowed = this->properties.idempotent && this->in_time(now) &&
+                         this->sends < this->properties.max_sends &&
+                         this->targets_tried.size() < this->properties.max_attempts;
+    if (allowed && this->budget.try_spend())
+        return this->try_elsewhere(step::retry_elsewhere);
+    if (has_answer)
+        return {.what = action::pass_answer};
+    if (allowed)
+        return this->give_up(error_kind::retry_budget_spent);
+    return this->give_up(this->in_time(now) ? error_kind::target_failed
+                                            : error_kind::deadline_exceeded);
+}
+
+decision request_state::passed(std::uint64_t bytes) {
+    if (this->current == phase::sent)
+        this->advance(step::answer_begun);
+    if (this->current == phase::answering)
+        this->bytes_passed += bytes;
+    return {};
+}
+
+decision request_state::stream_broken(helpers::time_point now) {
+    if (this->current == phase::resuming)
+        return this->give_up(error_kind::answer_truncated);
+    if (this->current != phase::answering)
+        return {};
+    if (!this->properties.resumable || !this->in_time(now) ||
+        this->resumes >= this->properties.max_resumes)
+        return this->give_up(error_kind::answer_truncated);
+    ++this->resumes;
+    this->advance(step::stream_broken);
+    return {.what = action::resume, .resume_offset = this->bytes_passed};
+}
+
+decision request_state::resumed() {
+    this->advance(step::stream_resumed);
+    return {};
+}
+
+decision request_state::completed() {
+    return this->finish(step::completed, error_kind::internal);
+}
+
+decision request_state::give_up(error_kind reason) {
+    return this->finish(step::given_up, reason);
+}
+
+decision request_state::caller_left() {
+    // Nobody reads the answer; the kind is for the log.
+    return this->give_up(error_kind::request_timeout);
+}
+
+} // namespace samphirespool::request
--- /dev/null
+++ b/src/request/request_state.hpp
@@ -0,0 +1,135 @@
+// One request's way from acceptance to exactly one outcome. The router reports what happened and
+// carries out the decision it gets back; it has no retry or outcome rules of its own. A report that
+// does not fit the phase (late, crossed, repeated) yields the action `none`.
+//
+//   accepted -> wait_turn -> [claim] -> reserve -> connect -> send -> answer
+//
+// Retries: an attempt that provably sent nothing goes to another candidate. After a byte may have
+// left, only an idempotent request is tried again, on another target, within the retry budget, and
+// only while nothing has reached the caller. A broken stream is resumed on the same target, which
+// holds the rest of the answer; another target would make a different one.
+#pragma once
+
+#include "helpers/ids.hpp"
+#include "helpers/time.hpp"
+#include "kernel/error.hpp"
+#include "request/request_phase.hpp"
+#include "request/retry_budget.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace samphirespool::request {
+
+struct request_traits {
+    bool idempotent = true;
+    // Non-idempotent with a key: claimed in the store before it is sent.
+    bool needs_claim = false;
+    // The target can continue a stream at an offset.
+    bool resumable = false;
+    helpers::time_point deadline;
+    // Attempts that sent something, and attempts in all.
+    std::uint32_t max_sends = 3;
+    std::uint32_t max_attempts = 8;
+    std::uint32_t max_resumes = 2;
+};
+
+enum class action : std::uint8_t {
+    // Nothing to do: the report came too late or changed nothing.
+    none,
+    claim,
+    // Reserve on a candidate for which may_use() holds.
+    reserve,
+    // Connect to the granted target; write nothing yet.
+    connect,
+    // Write the request.
+    send,
+    // Reconnect to the same target and ask for the answer from resume_offset on.
+    resume,
+    // The target answered with an error that is passed to the caller as its answer.
+    pass_answer,
+    // The outcome is settled: see outcome and kind.
+    finish,
+};
+
+struct decision {
+    action what = action::none;
+    // How to end the grant that this report ended, if it ended one.
+    bool release_grant = false;
+    // Whether the target may still be working for this request and must be told to stop.
+    bool cancel_target = false;
+    std::uint64_t resume_offset = 0;
+    // With `finish`. The kind is meaningless when the outcome is answered.
+    kernel::request_outcome outcome = kernel::request_outcome::unknown;
+    kernel::error_kind kind = kernel::error_kind::internal;
+};
+
+class request_state {
+public:
+    request_state(const request_traits& traits, retry_budget& budget);
+
+    // The request's turn in the queue has come.
+    decision turn_given(helpers::time_point now);
+
+    // The claim is held and allows sending before valid_until.
+    decision claim_held(helpers::time_point valid_until, helpers::time_point now);
+
+    decision granted(helpers::target_id target, helpers::time_point send_before);
+
+    // The connection stands and the request is about to be written.
+    decision connected(helpers::time_point now);
+
+    // The connection could not be made; no byte of the request was written.
+    decision connect_failed(helpers::time_point now);
+
+    // The attempt failed after bytes may have left: connection lost or an error of the target.
+    // has_answer: the target gave a whole answer that can be passed on if there is no retry.
+    decision attempt_failed(bool has_answer, helpers::time_point now);
+
+    // Bytes of the answer were passed to the caller.
+    decision passed(std::uint64_t bytes);
+    decision stream_broken(helpers::time_point now);
+
+    // The resumed stream continues.
+    decision resumed();
+
+    // The whole answer was passed to the caller.
+    decision completed();
+
+    // Gives up: queue full, no target, claim refused, limit reached, shutting down, deadline
+    // passed. Yields the outcome that the phase allows.
+    decision give_up(kernel::error_kind reason);
+    decision caller_left();
+
+    // Whether the request may go to the target: it was not tried there.
+    bool may_use(helpers::target_id target) const;
+    std::span<const helpers::target_id> tried() const { return this->targets_tried; }
+    phase at() const { return this->current; }
+    const request_traits& traits() const { return this->properties; }
+
+    // Time left for the target, to pass on as its deadline; zero when it has passed.
+    helpers::duration remaining(helpers::time_point now) const;
+
+private:
+    // Returns false and changes nothing if the step does not fit the phase.
+    bool advance(step by);
+    bool holds_grant() const;
+    bool in_time(helpers::time_point now) const { return now < this->properties.deadline; }
+    decision try_elsewhere(step by);
+    decision finish(step by, kernel::error_kind kind);
+
+    request_traits properties;
+    retry_budget& budget;
+    phase current = phase::waiting_turn;
+    // Invariant: without duplicates; the last is the one in use while a grant is held.
+    std::vector<helpers::target_id> targets_tried;
+    std::uint32_t sends = 0;
+    std::uint32_t resumes = 0;
+    std::uint64_t bytes_passed = 0;
+    helpers::time_point send_before;
+    std::optional<helpers::time_point> claim_valid_until;
+};
+
+} // namespace samphirespool::request
