--- a/src/config/fleet_configuration.hpp
+++ b/src/config/fleet_configuration.hpp
@@ -1,5 +1,6 @@
 // The fleet's configuration as a value: services, organisations, presets, the preset in force and
-// the marks on data centres and VMs. One version of it is immutable.
+// the marks on data centres and VMs. One version of it is immutable, but for leave marks that are
+// in effect and not yet durable: they are added to the marks without a version of their own.
 #pragma once
 
 #include "helpers/ids.hpp"
@@ -43,6 +44,8 @@
     std::uint32_t shards = 1;
     // Whether the targets refuse an order with an old fencing number.
     bool checks_fencing = false;
+
+    friend bool operator==(const service_definition&, const service_definition&) = default;
 };
 
 struct organisation_definition {
@@ -54,6 +57,9 @@
     // 0 means no limit.
     double max_requests_per_second = 0;
     std::uint32_t max_in_flight = 0;
+
+    friend bool operator==(const organisation_definition&,
+                           const organisation_definition&) = default;
 };
 
 struct preset_definition {
@@ -68,6 +74,8 @@
     double retry_share = 0.1;
     // Organisation weights that differ from the definition.
     std::map<std::string, std::uint32_t> organisation_weights;
+
+    friend bool operator==(const preset_definition&, const preset_definition&) = default;
 };
 
 enum class mark_state : std::uint8_t {
@@ -79,6 +87,8 @@
     mark_state state = mark_state::leaving;
     // Wall time of the acceptance; the gradual return counts from it.
     helpers::wall_milliseconds since = 0;
+
+    friend bool operator==(const mark&, const mark&) = default;
 };
 
 struct fleet_configuration {
