--- a/src/settings/check_files.cpp
+++ b/src/settings/check_files.cpp
@@ -1,4 +1,5 @@
 // Checks that the files named in the settings can be used by this process.
+#include "http/tls_keys.hpp"
 #include "settings/router_settings.hpp"
 
 #include <fstream>
@@ -7,21 +8,14 @@
 
 namespace {
 
-void check_readable(std::string_view key, const std::string& path,
-                    std::vector<kernel::error>& faults) {
-    std::ifstream file(path);
-    if (file.good() && file.peek() != std::ifstream::traits_type::eof())
-        return;
-    faults.push_back({kernel::error_kind::invalid_settings,
-                      std::string(key) + ": " + path + " cannot be read or is empty"});
-}
-
+// Loads the pair as the listener will, so that a key of another certificate is found too.
 void check_tls(std::string_view key, const std::optional<tls_settings>& tls,
                std::vector<kernel::error>& faults) {
     if (!tls)
         return;
-    check_readable(std::string(key) + ".certificate_file", tls->certificate_file, faults);
-    check_readable(std::string(key) + ".key_file", tls->key_file, faults);
+    kernel::error reason;
+    if (!http::tls_keys(tls->certificate_file, tls->key_file).load(reason))
+        faults.push_back({reason.kind, std::string(key) + ": " + reason.detail});
 }
 
 } // namespace
--- a/src/settings/router_settings.cpp
+++ b/src/settings/router_settings.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::size_t max_name_length = 128;
+constexpr std::size_t max_name_length = 64;
 constexpr std::size_t token_hash_digits = 64;
 constexpr std::size_t min_key_digits = 32;
 constexpr std::size_t max_key_digits = 128;
@@ -207,8 +207,7 @@
         if (!text)
             return;
         if (!is_name(*text))
-            this->fault(node, key,
-                        "must be 1 to 128 letters, digits, hyphens, underscores or dots");
+            this->fault(node, key, "must be 1 to 64 letters, digits, hyphens, underscores or dots");
         this->result.*rule.target = *text;
     }
 
--- a/src/settings/router_settings.hpp
+++ b/src/settings/router_settings.hpp
@@ -75,8 +75,8 @@
 std::optional<router_settings> read_router_settings(std::string_view yaml_text,
                                                     std::vector<kernel::error>& faults);
 
-// Appends a fault for each file named in the settings that this process cannot read, and for a log
-// file that it cannot write. Creates the log file if it is missing.
+// Appends a fault for each certificate and key that a listener could not use, and for a log file
+// that cannot be written. Creates the log file if it is missing.
 void check_files(const router_settings& settings, std::vector<kernel::error>& faults);
 
 } // namespace samphirespool::settings
--- a/tests/settings/test_router_settings.cpp
+++ b/tests/settings/test_router_settings.cpp
@@ -127,6 +127,6 @@
     std::vector<kernel::error> faults;
     settings::check_files(wanted, faults);
     REQUIRE(faults.size() == 2);
-    CHECK(reports(faults, "caller_tls.key_file"));
+    CHECK(reports(faults, "caller_tls: "));
     CHECK(reports(faults, "log_file"));
 }
--- a/tests/store/fake_exchange.hpp
+++ b/tests/store/fake_exchange.hpp
@@ -21,8 +21,11 @@
 class fake_exchange final : public http::exchange {
 public:
     fake_exchange(std::string method, const std::string& target, std::string body,
-                  kept_answer& answer)
-        : method(std::move(method)), body(std::move(body)), answer(answer) {
+                  kept_answer& answer, http::header_list headers = {})
+        : method(std::move(method)),
+          body(std::move(body)),
+          headers(std::move(headers)),
+          answer(answer) {
         const auto split = target.find('?');
         this->path = target.substr(0, split);
         if (split != std::string::npos)
