--- /dev/null
+++ b/tests/process/test_ctl.py
@@ -0,0 +1,167 @@
+#!/usr/bin/env python3
+"""samphirespoolctl against an administration API whose answers the test sets."""
+
+import http.server
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import threading
+
+CTL = os.path.join(sys.argv[1], "samphirespoolctl")
+GIVE_UP_SECONDS = 30
+
+
+class AdminApi(http.server.BaseHTTPRequestHandler):
+    """Answers with the next of `script`: (status, body), or None to close without an answer."""
+
+    protocol_version = "HTTP/1.1"
+    script = []
+    seen = []
+
+    def answer(self):
+        length = int(self.headers.get("content-length", 0))
+        body = self.rfile.read(length).decode()
+        self.seen.append((self.command, self.path, body, self.headers.get("authorization")))
+        step = self.script.pop(0)
+        if step is None:
+            self.close_connection = True
+            return
+        status, content = step
+        data = content.encode() if isinstance(content, str) else json.dumps(content).encode()
+        self.send_response(status)
+        self.send_header("content-length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    do_GET = do_PUT = do_POST = do_DELETE = answer
+
+    def log_message(self, *_):
+        pass
+
+
+def run(port, *arguments, answers=(), stdin=""):
+    AdminApi.script[:] = list(answers)
+    AdminApi.seen.clear()
+    command = [CTL, "--address", f"127.0.0.1:{port}", *arguments]
+    done = subprocess.run(
+        command, input=stdin, capture_output=True, text=True, timeout=GIVE_UP_SECONDS, check=False
+    )
+    return done.returncode, done.stdout, done.stderr
+
+
+def expect(condition, text):
+    if not condition:
+        sys.exit(f"FAILED: {text}")
+
+
+def outcome(status, version=7, **more):
+    return {"status": status, "version": version, "message": "text", "faults": [], **more}
+
+
+def check_reading(port, folder):
+    token = os.path.join(folder, "token")
+    with open(token, "w", encoding="utf-8") as file:
+        file.write("secret\n")
+    members = {"members": [{"name": "r1", "state": "alive\x1b[31m", "configuration_version": 4}]}
+    code, out, _ = run(port, "members", "--token-file", token, answers=[(200, members)])
+    expect(code == 0 and out.splitlines()[0].startswith("NAME  STATE"), f"table: {out}")
+    expect("\x1b" not in out, "control characters must not reach the terminal")
+    expect(AdminApi.seen[0][3] == "Bearer secret", f"token: {AdminApi.seen}")
+    code, out, _ = run(port, "--json", "status", answers=[(200, {"name": "r1"})])
+    expect(code == 0 and json.loads(out) == {"name": "r1"}, f"json: {out}")
+    pages = [
+        (200, {"organisations": [{"name": "a"}], "next": "a"}),
+        (200, {"organisations": [{"name": "b"}], "next": None}),
+    ]
+    code, out, _ = run(port, "organisations", "list", answers=pages)
+    expect(code == 0 and "\nb " in out, f"pages: {out}")
+    expect(AdminApi.seen[1][1].endswith("after=a"), f"second page: {AdminApi.seen}")
+
+
+def check_exit_codes(port):
+    error = {"error": {"code": "x", "message": "y"}}
+    table = [(200, 0), (202, 8), (409, 3), (422, 1), (503, 4), (401, 7), (403, 7), (404, 1)]
+    for status, wanted in table:
+        answer = error if status in (401, 403, 404) else outcome("s")
+        code, _, _ = run(port, "preset", "use", "peak", answers=[(status, answer)])
+        expect(code == wanted, f"status {status} gave exit code {code}, not {wanted}")
+    for words in ([], ["mark", "gone", "vm", "v"], ["preset", "use"], ["nonsense"], ["--nonsense"]):
+        expect(run(port, *words)[0] == 2, f"usage of {words}")
+    expect(run(port, "mark", "leaving", "vm", "a/../b")[0] == 2, "a name must not leave its path")
+    expect(run(1, "status")[0] == 6, "nobody listens on port 1")
+    for words in (["--help"], ["preset", "--help"], ["--version"]):
+        expect(run(port, *words)[0] == 0, f"{words}")
+
+
+def check_changes(port):
+    code, out, err = run(
+        port, "mark", "leaving", "data-centre", "lk-a", "--if-version", "6", "--request-id", "op-1",
+        answers=[(200, outcome("accepted"))],
+    )
+    expect(code == 0 and "accepted at version 7" in out, f"change: {out}")
+    expect("op-1" in err, "the request id is printed")
+    method, path, body, _ = AdminApi.seen[0]
+    expect(method == "PUT", method)
+    expect(path == "/admin/v1/marks/data-centres/lk-a?request_id=op-1&if_version=6", path)
+    expect(json.loads(body) == {"state": "leaving"}, body)
+
+    answers = [None, (504, outcome("unknown")), (503, outcome("not")), (200, outcome("accepted"))]
+    code, _, _ = run(port, "preset", "use", "peak", answers=answers)
+    expect(code == 0, f"a lost answer is repeated: {code}")
+    expect(len(AdminApi.seen) == 4, f"attempts: {AdminApi.seen}")
+    expect(len({path for _, path, _, _ in AdminApi.seen}) == 1, "repeats keep the request id")
+
+    answers = [None] + [(503, outcome("not_accepted"))] * 3
+    code, _, err = run(port, "preset", "use", "peak", answers=answers)
+    expect(code == 5, f"a refused repeat does not settle a lost answer: {code} {err}")
+    expect("unknown" in err, err)
+
+
+def check_configuration(port, folder):
+    file = os.path.join(folder, "configuration.json")
+    with open(file, "w", encoding="utf-8") as out:
+        json.dump({"version": 12}, out)
+    accepted = [(200, outcome("accepted"))]
+    expect(run(port, "configuration", "apply", file, answers=accepted)[0] == 0, "apply")
+    expect("if_version=12" in AdminApi.seen[0][1], f"version of the file: {AdminApi.seen}")
+    run(port, "configuration", "apply", file, "--if-version", "3", answers=accepted)
+    expect("if_version=3" in AdminApi.seen[0][1], f"version of the option: {AdminApi.seen}")
+    faults = {"valid": False, "faults": ["services.a: wrong"]}
+    code, _, err = run(port, "configuration", "check", "-", answers=[(422, faults)], stdin="{}")
+    expect(code == 1 and "services.a: wrong" in err, f"check: {code} {err}")
+    expect(run(port, "configuration", "apply", file + "x")[0] == 2, "a missing file")
+
+
+def check_timeline(port, folder):
+    logs = []
+    for process, times in (("a", (1, 5)), ("b", (2, 3))):
+        logs.append(os.path.join(folder, process + ".log"))
+        with open(logs[-1], "w", encoding="utf-8") as file:
+            for time in times:
+                line = {"hybrid": time, "logical": 0, "process": process, "event": f"at{time}"}
+                file.write(json.dumps(line) + "\n")
+    code, out, _ = run(port, "timeline", *logs)
+    order = [word for word in out.split() if word.startswith("at")]
+    expect(code == 0 and order == ["at1", "at2", "at3", "at5"], f"timeline: {out}")
+    page = os.path.join(folder, "page.html")
+    expect(run(port, "timeline", *logs, "--html", page)[0] == 0, "html")
+    with open(page, encoding="utf-8") as file:
+        expect("at3" in file.read(), "the page holds the events")
+
+
+def main():
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), AdminApi)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    port = server.server_address[1]
+    with tempfile.TemporaryDirectory() as folder:
+        check_reading(port, folder)
+        check_exit_codes(port)
+        check_changes(port)
+        check_configuration(port, folder)
+        check_timeline(port, folder)
+    server.shutdown()
+
+
+main()
