Route requests from callers to targets and back

Cause: the whole path has to stand before anything grows on it. Change: src/router (index, reading, reservation and claims of one process, retries, resume, relay, graceful end), the router daemon with a fixed configuration, and tests of late, crossed, duplicated and truncated answers. h2o's client takes a chunked answer that ends between two chunks for whole, and h2o's server marks a broken one by bytes that it then takes for data: both are closed.

--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -1,9 +1,177 @@
-// The router daemon.
+// The router daemon: command line, settings, log, loop.
+#include "config/documents.hpp"
+#include "debug/json_log.hpp"
 #include "http/event_loop.hpp"
+#include "router/router.hpp"
+#include "router/static_configuration.hpp"
+#include "settings/router_settings.hpp"
+#include "store/store_json.hpp"
 
-int main() {
-    samphirespool::http::event_loop loop;
-    loop.on_terminate([&loop] { loop.stop(); });
+#include <getopt.h>
+
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <optional>
+#include <string>
+
+using namespace samphirespool;
+
+namespace {
+
+constexpr int exit_usage = 2;
+
+constexpr auto usage = R"(usage: samphirespool-router --config FILE [OPTION...]
+  --config FILE         settings of this router (YAML)
+  --check-config FILE   check the settings and exit: 0 if they can be used, 1 if not
+  --configuration FILE  with --vms: fixed services and organisations (JSON) instead of the platform's
+  --vms FILE            with --configuration: fixed list of VMs (JSON)
+  --help
+  --version
+SIGTERM: leave; exit 0 after the last answer. SIGHUP: read the TLS keys again.
+)";
+
+constexpr std::array<option, 7> long_options{{
+    {"config", required_argument, nullptr, 'c'},
+    {"check-config", required_argument, nullptr, 'k'},
+    {"configuration", required_argument, nullptr, 'f'},
+    {"vms", required_argument, nullptr, 'm'},
+    {"help", no_argument, nullptr, 'h'},
+    {"version", no_argument, nullptr, 'v'},
+    {nullptr, 0, nullptr, 0},
+}};
+
+struct command_line {
+    std::string config_file;
+    std::string configuration_file;
+    std::string vms_file;
+    bool check_only = false;
+};
+
+std::optional<std::string> read_file(const std::string& name) {
+    std::ifstream file(name, std::ios::binary);
+    if (!file)
+        return std::nullopt;
+    return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+void print(const std::vector<kernel::error>& faults) {
+    for (const auto& fault : faults)
+        std::fprintf(stderr, "%s\n", fault.detail.c_str());
+}
+
+std::optional<settings::router_settings> read_settings(const std::string& file) {
+    const auto text = read_file(file);
+    if (!text) {
+        std::fprintf(stderr, "cannot read %s\n", file.c_str());
+        return std::nullopt;
+    }
+    std::vector<kernel::error> faults;
+    auto read = settings::read_router_settings(*text, faults);
+    if (read)
+        settings::check_files(*read, faults);
+    print(faults);
+    if (!faults.empty())
+        return std::nullopt;
+    return read;
+}
+
+std::unique_ptr<router::static_configuration> read_fixed(const command_line& command,
+                                                         const kernel::clock& time) {
+    const auto configuration = read_file(command.configuration_file);
+    const auto vms = read_file(command.vms_file);
+    if (!configuration || !vms) {
+        std::fprintf(stderr, "cannot read the fixed configuration or the list of VMs\n");
+        return nullptr;
+    }
+    auto imported = config::import_configuration(*configuration);
+    print(imported.faults);
+    auto listed = store::parse_vm_list(*vms);
+    if (!imported.value || !listed)
+        return nullptr;
+    return std::make_unique<router::static_configuration>(time, std::move(*imported.value),
+                                                          std::move(*listed));
+}
+
+int run(const command_line& command, const settings::router_settings& settings) {
+    http::event_loop loop;
+    kernel::hybrid_clock order(loop.time());
+    kernel::error reason;
+    const auto log =
+        debug::json_log::open({settings.name, settings.log_file}, order, loop.time(), reason);
+    if (log == nullptr) {
+        std::fprintf(stderr, "%s\n", reason.detail.c_str());
+        return EXIT_FAILURE;
+    }
+    const auto configuration = read_fixed(command, loop.time());
+    if (configuration == nullptr)
+        return EXIT_FAILURE;
+    router::router router(loop, settings, *configuration, *log);
+    if (!router.start(reason)) {
+        std::fprintf(stderr, "%s\n", reason.detail.c_str());
+        return EXIT_FAILURE;
+    }
+    std::printf("{\"name\":\"%s\",\"caller_port\":%d}\n", settings.name.c_str(),
+                router.front().port());
+    std::fflush(stdout);
+    log->write(kernel::severity::info, "router.started", std::nullopt,
+               {{"caller_port", std::uint64_t{router.front().port()}}});
+    loop.on_terminate([&] {
+        log->write(kernel::severity::info, "router.leaving", std::nullopt, {});
+        router.leave([&loop] { loop.stop(); });
+    });
+    loop.on_reload([&] { router.front().reload_keys(); });
     loop.run();
-    return 0;
+    log->write(kernel::severity::info, "router.stopped", std::nullopt, {});
+    return EXIT_SUCCESS;
+}
+
+// Returns the exit code if the options alone decide it.
+std::optional<int> parse(int argc, char** argv, command_line& command) {
+    int letter = 0;
+    while ((letter = getopt_long(argc, argv, "", long_options.data(), nullptr)) != -1) {
+        switch (letter) {
+        case 'k':
+            command.check_only = true;
+            [[fallthrough]];
+        case 'c':
+            command.config_file = optarg;
+            break;
+        case 'f':
+            command.configuration_file = optarg;
+            break;
+        case 'm':
+            command.vms_file = optarg;
+            break;
+        case 'v':
+            std::puts("samphirespool-router " SAMPHIRESPOOL_VERSION);
+            return EXIT_SUCCESS;
+        case 'h':
+            std::fputs(usage, stdout);
+            return EXIT_SUCCESS;
+        default:
+            std::fputs(usage, stderr);
+            return exit_usage;
+        }
+    }
+    if (!command.config_file.empty())
+        return std::nullopt;
+    std::fputs(usage, stderr);
+    return exit_usage;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    command_line command;
+    if (const auto code = parse(argc, argv, command))
+        return *code;
+    const auto settings = read_settings(command.config_file);
+    if (!settings)
+        return EXIT_FAILURE;
+    if (command.check_only)
+        return EXIT_SUCCESS;
+    return run(command, *settings);
 }
--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <utility>
 
 namespace samphirespool::http {
 
@@ -13,8 +14,13 @@
 
 volatile std::sig_atomic_t terminate_requested = 0;
 
-void note_signal(int) {
-    terminate_requested = 1;
+volatile std::sig_atomic_t reload_requested = 0;
+
+void note_signal(int number) {
+    if (number == SIGHUP)
+        reload_requested = 1;
+    else
+        terminate_requested = 1;
 }
 
 std::int32_t wait_until(helpers::time_point due, helpers::time_point now) {
@@ -28,6 +34,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGTERM, note_signal);
     std::signal(SIGINT, note_signal);
+    std::signal(SIGHUP, note_signal);
 }
 
 // h2o 2.2 offers no way to free a loop; a process has one and ends with it.
@@ -49,10 +56,13 @@
     h2o_evloop_run(this->h2o, wait);
     if (!this->timers.empty())
         this->timers.run_due(this->time_source.now());
-    if (terminate_requested == 0)
-        return;
-    terminate_requested = 0;
-    if (this->terminate_task)
+    this->handle_signals();
+}
+
+void event_loop::handle_signals() {
+    if (std::exchange(reload_requested, 0) != 0 && this->reload_task)
+        this->reload_task();
+    if (std::exchange(terminate_requested, 0) != 0 && this->terminate_task)
         this->terminate_task();
 }
 
--- a/src/http/event_loop.hpp
+++ b/src/http/event_loop.hpp
@@ -28,12 +28,18 @@
     // Runs the task on the loop when the process gets SIGTERM or SIGINT.
     void on_terminate(kernel::task work) { this->terminate_task = std::move(work); }
 
+    // Runs the task on the loop when the process gets SIGHUP.
+    void on_reload(kernel::task work) { this->reload_task = std::move(work); }
+
     h2o_loop_t* native() { return this->h2o; }
 
 private:
+    void handle_signals();
+
     kernel::system_clock time_source;
     kernel::timer_queue timers;
     kernel::task terminate_task;
+    kernel::task reload_task;
     h2o_loop_t* h2o;
     bool stopping = false;
 };
--- a/src/http/h2o_call.cpp
+++ b/src/http/h2o_call.cpp
@@ -29,6 +29,9 @@
 
 h2o_call::~h2o_call() {
     this->loop.cancel(this->timer);
+    this->loop.cancel(this->watch_timer);
+    if (this->destroyed != nullptr)
+        *this->destroyed = true;
     if (this->scope != nullptr) {
         // h2o is in a callback of this call and closes the connection when that returns.
         this->scope->call_destroyed = true;
@@ -123,7 +126,7 @@
 
 h2o_http1client_body_cb h2o_call::on_head(h2o_http1client_t* native, const char* error, int,
                                           int status, h2o_iovec_t, h2o_header_t* headers,
-                                          std::size_t count, int) {
+                                          std::size_t count, int header_bytes) {
     auto* self = static_cast<h2o_call*>(native->data);
     const bool is_end = error == h2o_http1client_error_is_eos;
     callback_scope running(*self);
@@ -139,6 +142,9 @@
     for (std::size_t i = 0; i < count; ++i)
         received.push_back({std::string(headers[i].name->base, headers[i].name->len),
                             std::string(headers[i].value.base, headers[i].value.len)});
+    self->is_chunked = http::find_header(received, "transfer-encoding").has_value();
+    const bool body_follows =
+        !is_end && native->sock->input->size > static_cast<std::size_t>(header_bytes);
     self->listener.on_head(status, received);
     if (running.call_destroyed)
         return nullptr;
@@ -149,9 +155,42 @@
         self->listener.on_done();
         return nullptr;
     }
+    // h2o installs its reader after this. With body bytes at hand it calls on_body at once.
+    if (self->is_chunked && !body_follows)
+        self->watch_timer = self->loop.schedule(helpers::duration::zero(), [self] {
+            self->watch_timer = 0;
+            self->watch_chunked_body();
+        });
     return on_body;
 }
 
+void h2o_call::watch_chunked_body() {
+    if (this->chunked_reader != nullptr || this->native == nullptr)
+        return;
+    auto& reader =
+        this->paused_reader != nullptr ? this->paused_reader : this->native->sock->_cb.read;
+    this->chunked_reader = std::exchange(reader, on_chunked_readable);
+}
+
+void h2o_call::on_chunked_readable(h2o_socket_t* socket, const char* error) {
+    auto* self = static_cast<h2o_call*>(static_cast<h2o_http1client_t*>(socket->data)->data);
+    const auto reader = self->chunked_reader;
+    if (error != nullptr && socket->bytes_read != 0) {
+        // Bytes and end came together; h2o would not decode the bytes.
+        bool gone = false;
+        self->destroyed = &gone;
+        reader(socket, nullptr);
+        if (gone)
+            return;
+        self->destroyed = nullptr;
+        if (self->native == nullptr)
+            return;
+        socket->bytes_read = 0;
+    }
+    self->closed_by_target = error != nullptr;
+    reader(socket, error);
+}
+
 int h2o_call::on_body(h2o_http1client_t* native, const char* error) {
     auto* self = static_cast<h2o_call*>(native->data);
     callback_scope running(*self);
@@ -165,13 +204,15 @@
         h2o_buffer_consume(&native->sock->input, size);
     }
     if (error == nullptr) {
+        if (self->is_chunked)
+            self->watch_chunked_body();
         if (self->paused && self->paused_reader == nullptr)
             self->pause();
         return 0;
     }
     self->native = nullptr;
-    if (error != h2o_http1client_error_is_eos) {
-        self->fail(kernel::error_kind::answer_truncated, error);
+    if (error != h2o_http1client_error_is_eos || self->closed_by_target) {
+        self->fail(kernel::error_kind::answer_truncated, "the connection ended within the answer");
         return -1;
     }
     self->current = phase::ended;
--- a/src/http/h2o_server.cpp
+++ b/src/http/h2o_server.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -134,6 +135,12 @@
             shutdown(h2o_socket_get_fd(each.socket), SHUT_RDWR);
 }
 
+std::size_t h2o_server::answers_in_progress() const {
+    const auto& open = this->state->open;
+    return static_cast<std::size_t>(std::count_if(
+        open.begin(), open.end(), [](const connection& each) { return each.active != nullptr; }));
+}
+
 void h2o_server::on_accept(h2o_socket_t* listener, const char* error) {
     if (error != nullptr)
         return;
--- a/src/http/response_stream.cpp
+++ b/src/http/response_stream.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <limits>
 #include <new>
 #include <utility>
 
@@ -12,6 +13,9 @@
 
 namespace {
 
+// Announces a chunk that never comes. Some clients take a connection that ends between two chunks
+// for the end of the answer, and h2o's own mark for an error is taken for data by some.
+constexpr std::string_view open_chunk = "1\r\n";
 // Pause between looks at a connection that has pipelined bytes waiting.
 constexpr auto recheck_interval = std::chrono::milliseconds(250);
 // nginx's status for a caller that departed; no caller sees it.
@@ -210,10 +214,25 @@
 void response_stream::flush_head() {
     this->is_sending = true;
     this->sending_since = this->loop.time().now();
+    this->send_past_filters(H2O_SEND_STATE_IN_PROGRESS);
+}
+
+void response_stream::send_past_filters(h2o_send_state_t state) {
     auto* last = this->request._ostr_top;
     while (last->next != nullptr)
         last = last->next;
-    last->do_send(last, &this->request, nullptr, 0, H2O_SEND_STATE_IN_PROGRESS);
+    const bool is_error = state == H2O_SEND_STATE_ERROR;
+    auto mark = h2o_iovec_init(open_chunk.data(), open_chunk.size());
+    if (is_error) {
+        this->request._generator = nullptr;
+        this->request._ostr_top = last;
+    }
+    last->do_send(last, &this->request, &mark, is_error && this->is_chunked() ? 1 : 0, state);
+}
+
+bool response_stream::is_chunked() const {
+    return this->request.version >= 0x101 &&
+           this->request.res.content_length == std::numeric_limits<std::size_t>::max();
 }
 
 // Invariant: nothing is being sent, and the final state was not handed over before.
@@ -223,11 +242,18 @@
     std::swap(this->in_flight, this->waiting);
     this->is_sending = true;
     this->sending_since = this->loop.time().now();
-    const auto state = this->final_state;
+    auto state = this->final_state;
+    if (state == H2O_SEND_STATE_ERROR && !this->in_flight.empty())
+        state = H2O_SEND_STATE_IN_PROGRESS;
     if (state != H2O_SEND_STATE_IN_PROGRESS)
         this->stop_watching();
-    auto data = h2o_iovec_init(this->in_flight.data(), this->in_flight.size());
     // The last call may dispose of the request and with it of this object.
+    if (state == H2O_SEND_STATE_ERROR) {
+        this->request.http1_is_persistent = 0;
+        this->send_past_filters(state);
+        return;
+    }
+    auto data = h2o_iovec_init(this->in_flight.data(), this->in_flight.size());
     h2o_send(&this->request, &data, this->in_flight.empty() ? 0 : 1, state);
 }
 
--- a/src/http/response_stream.hpp
+++ b/src/http/response_stream.hpp
@@ -72,6 +72,8 @@
     void check_departure();
     void end(h2o_send_state_t state);
     void flush_head();
+    void send_past_filters(h2o_send_state_t state);
+    bool is_chunked() const;
     void flush();
     void taken();
 
--- /dev/null
+++ b/src/router/configuration_index.hpp
@@ -0,0 +1,63 @@
+// One version of the configuration, indexed for requests: organisations by API key, services by
+// path and model. Built once per version and shared by the requests judged under it.
+#pragma once
+
+#include "config/fleet_configuration.hpp"
+#include "helpers/ids.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace samphirespool::router {
+
+struct indexed_organisation {
+    helpers::organisation_id id;
+    const config::organisation_definition* definition = nullptr;
+};
+
+struct indexed_service {
+    helpers::service_id id;
+    const config::service_definition* definition = nullptr;
+};
+
+class configuration_index {
+public:
+    explicit configuration_index(std::shared_ptr<const config::fleet_configuration> in_force);
+
+    const config::fleet_configuration& configuration() const { return *this->in_force; }
+
+    // Null if no organisation has the key.
+    const indexed_organisation* organisation_by_key(std::string_view api_key) const;
+
+    // The longest matching prefix wins. Null if none matches.
+    const indexed_service* service_by_path(std::string_view path) const;
+    const indexed_service* service_by_model(std::string_view model) const;
+    const std::vector<indexed_service>& services() const { return this->all_services; }
+
+private:
+    struct route {
+        std::string prefix;
+        std::size_t service;
+    };
+
+    std::shared_ptr<const config::fleet_configuration> in_force;
+    std::vector<indexed_service> all_services;
+    // By hex SHA-256 of the key.
+    std::unordered_map<std::string_view, indexed_organisation> organisations;
+    // Longest prefix first.
+    std::vector<route> routes;
+    std::unordered_map<std::string_view, std::size_t> models;
+};
+
+std::string sha256_hex(std::string_view text);
+
+// Whether the definition says that the call may not be repeated. "POST /bookings" covers the path
+// itself and what lies below it.
+bool is_non_idempotent(const config::service_definition& service, std::string_view method,
+                       std::string_view path);
+
+} // namespace samphirespool::router
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -86,6 +86,7 @@
     REQUIRE(answer.failure);
     CHECK(answer.failure->kind == kernel::error_kind::answer_truncated);
     CHECK(answer.sent);
+    CHECK(answer.body == "part");
 }
 
 TEST_CASE("http: the server learns that the caller departed, before and during the answer") {
