Replay traces through the decisions and compare strategies

Cause: placement and admission are to be judged by reuse, skew, waits and refusals on the users' shapes, for every strategy in the same run. Change: traces as parameters with stated outcomes, a replay over fake engines with prefix caches, an all-knowing policy as the measure, bench-placement.

--- /dev/null
+++ b/bench/placement/replay/all_knowing.cpp
@@ -0,0 +1,33 @@
+// Sorts by what the engines' caches hold.
+#include "bench/placement/replay/all_knowing.hpp"
+
+#include <algorithm>
+
+namespace samphirespool::replay {
+
+void all_knowing::rank(const placement::placement_request& request,
+                       std::span<const placement::target_view> targets, kernel::random_source&,
+                       std::vector<std::size_t>& candidates) {
+    struct rated {
+        std::uint32_t cached = 0;
+        double load = 0;
+        std::size_t index = 0;
+    };
+    std::vector<rated> all;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        if (!targets[i].eligible)
+            continue;
+        const auto& cache = this->real.at(this->real.place_of(targets[i].id)).cache;
+        all.push_back({cache.cached(*this->real.placing()), targets[i].load, i});
+    }
+    const auto count = std::min(request.max_candidates, all.size());
+    std::ranges::partial_sort(all, all.begin() + static_cast<std::ptrdiff_t>(count),
+                              [](const rated& left, const rated& right) {
+                                  return left.cached != right.cached ? left.cached > right.cached
+                                                                     : left.load < right.load;
+                              });
+    for (std::size_t i = 0; i < count; ++i)
+        candidates.push_back(all[i].index);
+}
+
+} // namespace samphirespool::replay
