--- a/standins/engine/engine.cpp
+++ b/standins/engine/engine.cpp
@@ -1,8 +1,9 @@
 // The engine's batch: what comes in, what each step lets out.
 #include "standins/engine/engine.hpp"
 
+#include "standins/common/answer_text.hpp"
+
 #include <nlohmann/json.hpp>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <charconv>
@@ -28,7 +29,7 @@
 std::string prompt_of(const json& body) {
     std::string prompt;
     for (const auto& message : body.value("messages", json::array()))
-        prompt += message.value("role", "") + "\n" + message.value("content", "") + "\n";
+        prompt += prompt_part(message.value("role", ""), message.value("content", ""));
     return prompt;
 }
 
@@ -118,7 +119,7 @@
 void engine::start(std::unique_ptr<generation> fresh, const std::string& prompt) {
     const auto blocks = block_hashes(prompt);
     const auto hits = this->cache.use(blocks);
-    fresh->prompt_hash = XXH3_64bits(prompt.data(), prompt.size());
+    fresh->prompt_hash = prompt_hash(prompt);
     fresh->prompt_tokens = prompt.size() / bytes_per_token;
     fresh->cached_tokens = hits * tokens_per_block;
     const auto to_prefill = static_cast<double>(fresh->prompt_tokens - fresh->cached_tokens);
--- a/standins/engine/generation.cpp
+++ b/standins/engine/generation.cpp
@@ -1,8 +1,9 @@
 // Text and wire form of completions, after the OpenAI chat API.
 #include "standins/engine/generation.hpp"
 
+#include "standins/common/answer_text.hpp"
+
 #include <nlohmann/json.hpp>
-#include <xxhash.h>
 
 namespace samphirespool::standins {
 
@@ -22,15 +23,6 @@
 
 } // namespace
 
-std::string token_text(std::uint64_t prompt_hash, std::uint64_t position) {
-    constexpr std::string_view digits = "0123456789abcdef";
-    const auto hash = XXH3_64bits_withSeed(&position, sizeof(position), prompt_hash);
-    std::string text = " w";
-    for (int shift = 0; shift < 16; shift += 4)
-        text += digits[(hash >> shift) & 15U];
-    return text;
-}
-
 http::header_list answer_headers(const generation& each) {
     return {{"content-type", each.stream ? "text/event-stream" : "application/json"},
             {"x-request-id", reported_id(each)}};
--- a/standins/engine/generation.hpp
+++ b/standins/engine/generation.hpp
@@ -10,9 +10,6 @@
 
 namespace samphirespool::standins {
 
-// The answer's token at a position; depends on the prompt alone.
-std::string token_text(std::uint64_t prompt_hash, std::uint64_t position);
-
 // Faults that a control call puts on the next requests.
 enum class answer_fault : std::uint8_t {
     none,
