--- /dev/null
+++ b/src/admin/metric_sources.cpp
@@ -0,0 +1,77 @@
+// Registers counters of the transport and of the process.
+#include "admin/metric_sources.hpp"
+
+#include <array>
+#include <fstream>
+#include <sys/resource.h>
+#include <unistd.h>
+
+namespace samphirespool::admin {
+
+namespace {
+
+using kind_array = std::array<wire::kind_counters, wire::frame_kind_count>;
+
+constexpr std::array<std::string_view, 6> kind_names{"greeting",      "membership", "shares",
+                                                     "configuration", "claims",     "limits"};
+
+void watch_kinds(debug::metrics& metrics, const kind_array& kinds, const std::string& direction) {
+    for (std::size_t i = 0; i < kind_names.size(); ++i) {
+        const auto* kind = &kinds.at(i);
+        const debug::label_list labels{{"direction", direction},
+                                       {"kind", std::string(kind_names.at(i))}};
+        metrics.watch_counter(
+            {"samphirespool_peer_frames_total", "Frames between routers."},
+            [kind] { return kind->frames; }, labels);
+        metrics.watch_counter(
+            {"samphirespool_peer_bytes_total", "Bytes of frames between routers, with headers."},
+            [kind] { return kind->bytes; }, labels);
+    }
+}
+
+double seconds(const timeval& time) {
+    constexpr double microsecond = 1e-6;
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) * microsecond;
+}
+
+double cpu_seconds() {
+    rusage used{};
+    getrusage(RUSAGE_SELF, &used);
+    return seconds(used.ru_utime) + seconds(used.ru_stime);
+}
+
+double resident_bytes() {
+    std::ifstream file("/proc/self/statm");
+    double total_pages = 0;
+    double resident_pages = 0;
+    file >> total_pages >> resident_pages;
+    return resident_pages * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+} // namespace
+
+void watch_transport(debug::metrics& metrics, const wire::transport_counters& counters) {
+    watch_kinds(metrics, counters.sent, "sent");
+    watch_kinds(metrics, counters.received, "received");
+    const auto* all = &counters;
+    metrics.watch_counter({"samphirespool_peer_faults_total", "Frames refused as malformed."},
+                          [all] {
+                              std::uint64_t sum = 0;
+                              for (const auto count : all->faults)
+                                  sum += count;
+                              return sum;
+                          });
+    metrics.watch_counter({"samphirespool_peer_dropped_total", "Payloads dropped before sending."},
+                          [all] { return all->dropped; });
+    metrics.watch_counter({"samphirespool_peer_connects_total", "Connections made to routers."},
+                          [all] { return all->connects; });
+    metrics.watch_counter({"samphirespool_peer_accepts_total", "Connections taken from routers."},
+                          [all] { return all->accepts; });
+}
+
+void watch_process(debug::metrics& metrics) {
+    metrics.watch_gauge({"process_cpu_seconds_total", "Processor time used."}, cpu_seconds);
+    metrics.watch_gauge({"process_resident_memory_bytes", "Resident memory."}, resident_bytes);
+}
+
+} // namespace samphirespool::admin
