Extrapolate measured slopes to the design size and judge the promises

scripts/capacity fits linear slopes to the points in bench/results, writes the tables of docs/CAPACITY.md, draws plots and exits non-zero with the name of each promise that is not met or not measured. No fleet results are committed yet, so that all eight promises are reported as not measured.

--- a/scripts/capacitylib/model.py
+++ b/scripts/capacitylib/model.py
@@ -59,3 +59,82 @@
     row: Row
     limit: float
     text: str
+
+
+# Figures of bench "fleet" are measured by scripts/measure-fleet on real processes.
+def fleet(figure, *variables, times=""):
+    return Term("fleet", figure, variables, times)
+
+
+ROUTER_CPU = Row(
+    "entry router", "processor time for control", "% of a core", 0.01,
+    [fleet("idle_cpu", "routers")],
+    "probes at constant rate, share leases by owner", "src/membership, src/ownership",
+)
+ROUTER_CONTROL_OUT = Row(
+    "entry router", "control bytes out", "KB/s", KILO,
+    [fleet("control_bytes_out", "routers", "requests_per_router")],
+    "probes at constant rate; reservations in proportion to own requests",
+    "src/membership, src/ownership",
+)
+ROUTER_CONTROL_IN = Row(
+    "entry router", "control bytes in", "KB/s", KILO,
+    [fleet("control_bytes_in", "routers", "requests_per_router")],
+    "as for bytes out", "src/membership, src/ownership",
+)
+ROUTER_MEMORY = Row(
+    "entry router", "memory", "MB", MEGA,
+    [fleet("memory", "routers", "targets", "organisations")],
+    "configuration, targets and members as values", "src/config, src/placement",
+)
+STORE_READS = Row(
+    "store", "reads, lists and watches", "a second", 1.0,
+    [fleet("store_reads", "routers")],
+    "two relays in each region hold the watch", "src/store",
+)
+STORE_WRITES = Row(
+    "store", "writes", "a second", 1.0,
+    [fleet("store_writes", "routers")],
+    "roster and claims by conditional update", "src/membership, src/claims",
+)
+CHANGE_DELAY = Row(
+    "configuration relay", "accepted change in force everywhere", "s", 1.0,
+    [fleet("change_delay", "routers")],
+    "watch by relays, push to the rest", "src/store",
+)
+ROOT_VALUE = Row(
+    "store", "largest value", "KB", KILO,
+    [fleet("largest_value", "organisations")],
+    "organisations in chunks, one root", "src/store",
+)
+
+ROWS = [
+    ROUTER_CPU, ROUTER_CONTROL_OUT, ROUTER_CONTROL_IN, ROUTER_MEMORY,
+    CHANGE_DELAY, STORE_READS, STORE_WRITES, ROOT_VALUE,
+]
+
+PROMISES = [
+    Promise(ROUTER_CPU, 3.4, "the letter allows 3.4% of a core for control"),
+    Promise(ROUTER_CONTROL_OUT, 22, "the letter allows 22 KB/s for control"),
+    Promise(ROUTER_CONTROL_IN, 22, "the letter allows 22 KB/s for control"),
+    Promise(ROUTER_MEMORY, 256, "the letter allows 256 MB"),
+    Promise(CHANGE_DELAY, 4, "the letter asks for 4 s"),
+    Promise(STORE_READS, 2000, "the object API handles about two thousand reads a second"),
+    Promise(STORE_WRITES, 300, "the object API handles several hundred writes a second"),
+    Promise(ROOT_VALUE, 1000, "the object API holds values up to a megabyte"),
+]
+
+
+@dataclass
+class Plot:
+    file: str
+    title: str
+    row: Row
+    limit: float
+
+
+PLOTS = [
+    Plot("control-bytes.svg", "Control bytes out of one router", ROUTER_CONTROL_OUT, 22),
+    Plot("store-calls.svg", "Reads, lists and watches of the store", STORE_READS, 2000),
+    Plot("memory.svg", "Memory of one router", ROUTER_MEMORY, 256),
+]
