--- /dev/null
+++ b/scripts/soaklib/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of scripts/soak: the fleet of processes, traffic, faults, and checks of what was observed."""
