Give up the turn of an organisation that is held back by its limit

Cause: since start-time fair queueing an organisation that was passed over kept its old virtual start and was served first once it might run; the test 'who may not run is passed over and saves nothing up' failed with 45056 tokens against 36864. Change: a pop moves the turns of those it passed over behind the request it serves. Ruled out: easing the test to one request of difference. Conclusion: a held-back organisation has the same share afterwards as the others.

--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -96,21 +96,32 @@
 fair_queue::pop_from(std::size_t priority,
                      const std::function<bool(helpers::organisation_id)>& may_run) {
     auto& of = this->levels[priority];
+    std::vector<turn> held_back;
     for (const auto next : of.active) {
-        if (may_run && !may_run(next.organisation))
+        if (may_run && !may_run(next.organisation)) {
+            held_back.push_back(next);
             continue;
+        }
         auto& queue = of.queues.at(next.organisation);
-        // Who was held back by a limit saves nothing up.
         of.virtual_time = std::max(of.virtual_time, next.start);
         const auto cost = queue.waiting.front().cost_tokens * token_time;
-        of.active.erase(next);
-        queue.start = of.virtual_time + cost / this->weight_of(next.organisation);
-        of.active.insert({queue.start, queue.order, next.organisation});
+        const auto end = of.virtual_time + cost / this->weight_of(next.organisation);
+        this->move_turn(of, next, end);
+        // Who was held back by a limit saves nothing up: the turn is over for it as well.
+        for (const auto& passed : held_back)
+            this->move_turn(of, passed, end);
         return this->remove({priority, queue.waiting.begin()});
     }
     return std::nullopt;
 }
 
+void fair_queue::move_turn(level& of, const turn& from, std::uint64_t start) {
+    of.active.erase(from);
+    auto& queue = of.queues.at(from.organisation);
+    queue.start = std::max(queue.start, start);
+    of.active.insert({queue.start, queue.order, from.organisation});
+}
+
 std::optional<queued_request>
 fair_queue::pop(const std::function<bool(helpers::organisation_id)>& may_run) {
     for (std::size_t priority = 0; priority < priorities; ++priority)
--- a/src/admission/fair_queue.hpp
+++ b/src/admission/fair_queue.hpp
@@ -113,6 +113,7 @@
     std::optional<queued_request>
     pop_from(std::size_t priority, const std::function<bool(helpers::organisation_id)>& may_run);
     void forget_idle(level& of);
+    static void move_turn(level& of, const turn& from, std::uint64_t start);
     queued_request remove(const place& at);
     void count(helpers::organisation_id organisation, int change);
     queued_request take_youngest(helpers::organisation_id organisation);
