--- a/src/config/configuration_manager.cpp
+++ b/src/config/configuration_manager.cpp
@@ -75,6 +75,10 @@
     return is_kept ? std::optional(std::move(result)) : std::nullopt;
 }
 
+const std::string* configuration_manager::latest_delta() const {
+    return this->deltas.empty() ? nullptr : &this->deltas.back().text;
+}
+
 void configuration_manager::on_change(std::function<void()> listener) {
     this->listeners.push_back(std::move(listener));
 }
--- a/src/config/configuration_manager.hpp
+++ b/src/config/configuration_manager.hpp
@@ -44,6 +44,9 @@
     // longer kept.
     std::optional<std::vector<std::string>> deltas_since(configuration_version version) const;
 
+    // The encoded delta that led to the version in force. Null if that was learnt whole.
+    const std::string* latest_delta() const;
+
     // Runs after current() changed.
     void on_change(std::function<void()> listener);
 
--- a/standins/platform/platform.cpp
+++ b/standins/platform/platform.cpp
@@ -25,6 +25,11 @@
     return percent_decode(wanted.path.substr(prefix.size()));
 }
 
+// An answer that begins and never ends: its connection breaks with the exchange.
+void lose_answer(http::exchange& call) {
+    call.begin(200, {});
+}
+
 std::optional<fault_mode> mode_of(std::string_view name) {
     static const std::map<std::string_view, fault_mode> names{
         {"up", fault_mode::up},
@@ -92,8 +97,10 @@
         shared->respond(503, {}, "{}");
         return;
     }
-    if (fate == call_fate::lost_before_effect)
+    if (fate == call_fate::lost_before_effect) {
+        lose_answer(*shared);
         return;
+    }
     if (target.run == nullptr) {
         this->start_watch(std::move(shared));
         return;
@@ -101,6 +108,8 @@
     auto result = (this->*target.run)(shared->request());
     if (fate == call_fate::answered)
         this->answer(std::move(shared), std::move(result));
+    else
+        lose_answer(*shared);
 }
 
 void platform::answer(std::shared_ptr<http::exchange> call, reply result) {
--- a/tests/store/fake_exchange.hpp
+++ b/tests/store/fake_exchange.hpp
@@ -13,7 +13,8 @@
     // Nothing until the handler has answered.
     std::optional<int> status;
     std::string body;
-    // True once the handler destroyed the exchange without an answer.
+    bool complete = false;
+    // True once the handler destroyed the exchange without a complete answer.
     bool broken = false;
     kernel::task departed;
 };
@@ -28,7 +29,7 @@
         if (split != std::string::npos)
             this->query = target.substr(split + 1);
     }
-    ~fake_exchange() override { this->answer.broken = !this->answer.status.has_value(); }
+    ~fake_exchange() override { this->answer.broken = !this->answer.complete; }
 
     http::server_request request() const override {
         return {this->method, this->path, this->query, this->body, this->headers};
@@ -36,12 +37,13 @@
     void respond(int status, http::header_list, std::string_view text) override {
         this->answer.status = status;
         this->answer.body = text;
+        this->answer.complete = true;
     }
     void begin(int status, http::header_list) override { this->answer.status = status; }
     void write(std::span<const char> data) override {
         this->answer.body.append(data.data(), data.size());
     }
-    void finish() override {}
+    void finish() override { this->answer.complete = true; }
     std::size_t buffered() const override { return 0; }
     void on_drained(kernel::task) override {}
     void on_departed(kernel::task work) override { this->answer.departed = std::move(work); }
