--- /dev/null
+++ b/src/router/member_directory.cpp
@@ -0,0 +1,27 @@
+// Keeps the list of live routers.
+#include "router/member_directory.hpp"
+
+namespace samphirespool::router {
+
+namespace {
+
+config::peer_router peer_of(const membership::member_record& record) {
+    return {record.name, record.region, record.address};
+}
+
+} // namespace
+
+member_directory::member_directory(membership::membership_view& view)
+    : view(view), own(peer_of(view.self())) {
+    view.on_change([this](helpers::router_id, const membership::member*) { this->refresh(); });
+    this->refresh();
+}
+
+void member_directory::refresh() {
+    this->others.clear();
+    for (const auto& [id, member] : this->view.members())
+        if (member.is_live() && id != this->view.self().id)
+            this->others.push_back(peer_of(member.record));
+}
+
+} // namespace samphirespool::router
