Decide requests by the state machine, the fair queue, limits and ejection

Cause: the thin path had retry rules, outcomes and a queue of its own. Change: routed_request reports to request_state and carries out its decisions; turn_queue (fair queue, limits), target_health (ejection). http::response_listener gains on_connected(), called before the first byte leaves. A broken stream goes on at the same engine, as request_state says. Conclusion: router holds no rules of retry and outcome any more.

--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -14,6 +14,10 @@
 class response_listener {
 public:
     virtual ~response_listener() = default;
+
+    // The connection stands and the request is about to be written. False gives the call up: no
+    // byte leaves and nothing else is called. May run from within start().
+    virtual bool on_connected() { return true; }
     virtual void on_head(int status, const header_list& headers) = 0;
     virtual void on_body(std::span<const char> data) = 0;
     virtual void on_done() = 0;
@@ -36,7 +40,8 @@
 public:
     virtual ~client() = default;
 
-    // The listener must outlive the call. The listener is never called from within start().
+    // The listener must outlive the call. But for on_connected(), the listener is
+    // never called from within start().
     virtual std::unique_ptr<client_call> start(const client_request& request,
                                                response_listener& listener) = 0;
 };
--- a/src/http/h2o_call.cpp
+++ b/src/http/h2o_call.cpp
@@ -115,6 +115,12 @@
             });
         return nullptr;
     }
+    if (!self->listener.on_connected()) {
+        self->native = nullptr;
+        self->current = phase::ended;
+        self->loop.cancel(std::exchange(self->timer, 0));
+        return nullptr;
+    }
     self->current = phase::waiting_for_head;
     self->arm(self->first_byte_timeout);
     self->message_vector = h2o_iovec_init(self->message.data(), self->message.size());
--- a/src/router/caller_front.cpp
+++ b/src/router/caller_front.cpp
@@ -12,8 +12,8 @@
 } // namespace
 
 caller_front::caller_front(http::event_loop& loop, const settings::router_settings& settings,
-                           request_context context)
-    : loop(loop), settings(settings), events(context.events), requests(std::move(context)) {
+                           const request_context& context)
+    : loop(loop), settings(settings), events(context.events), requests(context) {
     if (settings.caller_tls)
         this->keys.emplace(settings.caller_tls->certificate_file, settings.caller_tls->key_file);
 }
--- a/src/router/caller_front.hpp
+++ b/src/router/caller_front.hpp
@@ -14,7 +14,7 @@
 class caller_front {
 public:
     caller_front(http::event_loop& loop, const settings::router_settings& settings,
-                 request_context context);
+                 const request_context& context);
     ~caller_front();
     caller_front(const caller_front&) = delete;
     caller_front& operator=(const caller_front&) = delete;
--- a/src/router/request_context.hpp
+++ b/src/router/request_context.hpp
@@ -6,7 +6,10 @@
 #include "http/client.hpp"
 #include "kernel/event.hpp"
 #include "kernel/loop.hpp"
+#include "request/retry_budget.hpp"
 #include "router/fleet_view.hpp"
+#include "router/target_health.hpp"
+#include "router/turn_queue.hpp"
 
 #include <cstdint>
 
@@ -42,6 +45,9 @@
     fleet_view& fleet;
     admission::reservation_service& reservations;
     claims::claim_service& claims;
+    turn_queue& turns;
+    target_health& health;
+    request::retry_budget& retries;
     http::client& targets;
     kernel::event_sink& events;
     router_identity self;
--- a/src/router/request_handler.hpp
+++ b/src/router/request_handler.hpp
@@ -13,7 +13,7 @@
 
 class request_handler {
 public:
-    explicit request_handler(request_context context) : context(std::move(context)) {}
+    explicit request_handler(const request_context& context) : context(context) {}
     request_handler(const request_handler&) = delete;
     request_handler& operator=(const request_handler&) = delete;
 
--- a/src/router/routed_request.cpp
+++ b/src/router/routed_request.cpp
@@ -1,4 +1,4 @@
-// The steps of one request. Each ends by starting the next, or the request.
+// Reports events to the request's state and carries out what it decides.
 #include "router/routed_request.hpp"
 
 #include "http/error_response.hpp"
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace samphirespool::router {
@@ -14,15 +15,34 @@
 namespace {
 
 using kernel::error_kind;
-using release_result = admission::release::result;
+using kernel::request_outcome;
+using request::action;
 
-constexpr std::size_t max_attempts = 4;
 constexpr std::size_t candidates_per_attempt = 6;
-constexpr auto target_poll_interval = std::chrono::milliseconds(200);
+constexpr auto target_poll_interval = std::chrono::milliseconds(100);
+// Longest wait for the rest of a stream that is resumed.
+constexpr auto resume_timeout = std::chrono::seconds(10);
 // Beyond this the target is made to wait until the caller has taken what it was sent.
 constexpr std::size_t high_water_bytes = std::size_t{256} * 1024;
 constexpr int first_server_error = 500;
-constexpr int service_unavailable = 503;
+
+struct verdict_kind {
+    claims::claim_verdict verdict;
+    error_kind kind;
+    std::string_view detail;
+};
+
+constexpr std::array<verdict_kind, 5> verdict_kinds{{
+    {claims::claim_verdict::taken, error_kind::claim_in_progress,
+     "the key was used; its outcome is not known"},
+    {claims::claim_verdict::executed, error_kind::already_executed,
+     "the request with this key was answered"},
+    {claims::claim_verdict::mismatch, error_kind::conflict, "the key belongs to another request"},
+    {claims::claim_verdict::expired, error_kind::claim_expired,
+     "the key is older than keys are kept"},
+    {claims::claim_verdict::unavailable, error_kind::claim_unavailable,
+     "the key could not be claimed in time"},
+}};
 
 std::uint64_t fingerprint_of(const http::server_request& request) {
     auto hash = XXH3_64bits(request.method.data(), request.method.size());
@@ -31,6 +51,21 @@
     return hash;
 }
 
+request::request_traits traits_of(const caller_request& wanted) {
+    request::request_traits traits;
+    traits.idempotent = !wanted.non_idempotent;
+    traits.needs_claim = wanted.non_idempotent && !wanted.idempotency_key.empty();
+    traits.resumable = wanted.is_chat && wanted.stream &&
+                       wanted.service.definition->kind == config::target_kind::engine;
+    traits.deadline = wanted.deadline;
+    return traits;
+}
+
+// The caller may conclude no more than both the request's state and the kind of error allow.
+request_outcome weaker(request_outcome a, request_outcome b) {
+    return std::max(a, b);
+}
+
 } // namespace
 
 routed_request::routed_request(request_context& context, helpers::request_id id,
@@ -42,13 +77,14 @@
       caller(std::move(caller)),
       wanted(std::move(wanted)),
       ended(std::move(ended)),
+      state(traits_of(this->wanted), context.retries),
       relay(*this->caller, this->id_text),
       began(context.loop.time().now()) {}
 
 routed_request::~routed_request() {
     *this->alive = false;
     this->context.loop.cancel(this->deadline_timer);
-    this->context.loop.cancel(this->wait_timer);
+    this->context.loop.cancel(this->later_timer);
 }
 
 void routed_request::start() {
@@ -57,68 +93,87 @@
         if (this->current && this->current->call)
             this->current->call->resume();
     });
-    const auto left = this->wanted.deadline - this->context.loop.time().now();
-    this->deadline_timer = this->context.loop.schedule(left, [this] { this->deadline_passed(); });
-    if (this->wants_claim())
-        this->make_claim();
+    const auto left = this->state.remaining(this->context.loop.time().now());
+    this->deadline_timer = this->context.loop.schedule(left, [this] {
+        this->deadline_timer = 0;
+        this->give_up({error_kind::deadline_exceeded, "no answer before the deadline"});
+    });
+    this->enter_queue();
+}
+
+void routed_request::enter_queue() {
+    const admission::queued_request place{this->id, this->wanted.organisation.id,
+                                          static_cast<std::uint8_t>(this->wanted.priority),
+                                          this->wanted.cost_tokens, this->wanted.deadline};
+    this->context.turns.enter(
+        place, this->wanted.service.id,
+        [this](const std::optional<kernel::error>& refusal) { this->on_turn(refusal); });
+}
+
+void routed_request::on_turn(const std::optional<kernel::error>& refusal) {
+    if (refusal)
+        this->give_up(*refusal);
     else
-        this->reserve();
+        this->carry_out(this->state.turn_given(this->context.loop.time().now()),
+                        release_result::not_sent);
 }
 
-bool routed_request::wants_claim() const {
-    return this->wanted.non_idempotent && !this->wanted.idempotency_key.empty();
+void routed_request::carry_out(const request::decision& made, release_result how) {
+    // In the order of request::action; `send` is carried out by the return of on_connected().
+    static constexpr std::array<action_step, 8> steps{
+        &routed_request::do_nothing,  &routed_request::make_claim, &routed_request::reserve,
+        &routed_request::call_target, &routed_request::do_nothing, &routed_request::resume_stream,
+        &routed_request::pass_answer, &routed_request::finish,
+    };
+    if (made.release_grant)
+        this->end_attempt(how);
+    (this->*steps.at(static_cast<std::size_t>(made.what)))(made);
 }
 
-void routed_request::make_claim() {
+void routed_request::make_claim(const request::decision&) {
     this->claim = {this->id, this->wanted.organisation.id, this->wanted.idempotency_key,
                    fingerprint_of(this->caller->request()), this->wanted.deadline};
-    this->context.claims.claim(this->claim,
-                               [this, alive = this->alive](const claims::claim_answer& answer) {
-                                   if (*alive)
-                                       this->on_claim(answer);
-                               });
+    auto& claims = this->context.claims;
+    claims.claim(this->claim, [this, &claims, claim = this->claim,
+                               alive = this->alive](const claims::claim_answer& answer) {
+        if (*alive && !this->has_ended)
+            this->on_claim(answer);
+        else if (answer.verdict == claims::claim_verdict::claimed)
+            claims.release(claim);
+    });
 }
 
 void routed_request::on_claim(const claims::claim_answer& answer) {
-    using claims::claim_verdict;
-    if (this->has_ended) {
-        if (answer.verdict == claim_verdict::claimed)
-            this->context.claims.release(this->claim);
+    if (answer.verdict == claims::claim_verdict::claimed) {
+        this->holds_claim = true;
+        this->carry_out(this->state.claim_held(answer.valid_until, this->context.loop.time().now()),
+                        release_result::not_sent);
         return;
     }
-    switch (answer.verdict) {
-    case claim_verdict::claimed:
-        this->claim_valid_until = answer.valid_until;
-        this->reserve();
-        return;
-    case claim_verdict::taken:
-        this->refuse({error_kind::claim_in_progress, "the key was used; its outcome is not known"});
-        return;
-    case claim_verdict::executed:
-        this->refuse({error_kind::already_executed, "the request with this key was answered"});
-        return;
-    case claim_verdict::mismatch:
-        this->refuse({error_kind::conflict, "the key belongs to another request"});
-        return;
-    case claim_verdict::expired:
-        this->refuse({error_kind::claim_expired, "the key is older than keys are kept"});
-        return;
-    case claim_verdict::unavailable:
-        this->refuse({error_kind::claim_unavailable, "the key could not be claimed in time"});
+    for (const auto& each : verdict_kinds)
+        if (each.verdict == answer.verdict)
+            this->give_up({each.kind, std::string(each.detail)});
+}
+
+// After an attempt, not from within the callback of its call.
+void routed_request::reserve(const request::decision&) {
+    if (this->state.tried().empty()) {
+        this->ask_for_target();
         return;
     }
+    ++this->context.counters.retried;
+    this->later([this] { this->ask_for_target(); });
 }
 
-void routed_request::reserve() {
+void routed_request::ask_for_target() {
     std::vector<helpers::target_id> candidates;
     this->context.fleet.rank(this->wanted.service.id,
                              {this->wanted.chat, this->context.self.data_centre,
                               this->context.self.region,
-                              candidates_per_attempt + this->tried.size()},
+                              candidates_per_attempt + this->state.tried().size()},
                              candidates);
-    std::erase_if(candidates, [this](helpers::target_id each) {
-        return std::find(this->tried.begin(), this->tried.end(), each) != this->tried.end();
-    });
+    std::erase_if(candidates,
+                  [this](helpers::target_id each) { return !this->state.may_use(each); });
     if (candidates.empty()) {
         this->wait_for_targets();
         return;
@@ -133,53 +188,60 @@
         });
 }
 
-// A target that failed this request may serve it later, when no other is left.
+// Another target may come up before the deadline. If every target there is was tried, none will.
 void routed_request::wait_for_targets() {
-    this->tried.clear();
-    this->wait_timer = this->context.loop.schedule(target_poll_interval, [this] {
-        this->wait_timer = 0;
-        this->reserve();
+    if (!this->state.tried().empty()) {
+        this->give_up({error_kind::target_unreachable, this->reason_detail});
+        return;
+    }
+    this->reason_detail = "the service has no target";
+    this->context.loop.cancel(this->later_timer);
+    this->later_timer = this->context.loop.schedule(target_poll_interval, [this] {
+        this->later_timer = 0;
+        this->ask_for_target();
     });
 }
 
 void routed_request::on_reservation(const admission::reservation_answer& answer) {
     this->reservation_pending = false;
     if (!answer.granted) {
-        this->refuse(answer.refusal);
+        this->give_up(answer.refusal);
         return;
     }
+    this->context.turns.placed(this->id);
     const auto* target = this->context.fleet.find(answer.given.target);
-    if (target == nullptr || !target->eligible || !this->may_still_send(answer.given)) {
-        this->context.reservations.finish({answer.given.id, release_result::not_sent, {}});
-        if (this->claim_valid_until && !this->may_still_send(answer.given))
-            this->refuse({error_kind::claim_unavailable, "the claim on the key ran out"});
-        else
-            this->wait_for_targets();
+    this->current.emplace();
+    this->current->given = answer.given;
+    if (target != nullptr)
+        this->current->address = target->address;
+    const auto made = this->state.granted(answer.given.target, answer.given.send_before);
+    if (made.what != action::connect || (target != nullptr && target->eligible)) {
+        this->carry_out(made, release_result::not_sent);
         return;
     }
-    this->send(answer.given, target->address);
+    // The target left between the grant and now.
+    this->carry_out(this->state.connect_failed(this->context.loop.time().now()),
+                    release_result::not_sent);
 }
 
-bool routed_request::may_still_send(const admission::grant& given) const {
-    const auto now = this->context.loop.time().now();
-    const bool claim_holds = !this->claim_valid_until || now < *this->claim_valid_until;
-    return claim_holds && now < given.send_before;
+void routed_request::call_target(const request::decision&) {
+    this->current->sent_at = this->context.loop.time().now();
+    this->current->call = this->context.targets.start(this->make_call(), *this);
 }
 
-void routed_request::send(const admission::grant& given, const helpers::endpoint& address) {
-    this->tried.push_back(given.target);
-    this->current.emplace();
-    this->current->given = given;
-    this->current->address = address;
-    this->current->sent_at = this->context.loop.time().now();
-    this->current->call = this->context.targets.start(this->make_call(address), *this);
+void routed_request::resume_stream(const request::decision&) {
+    ++this->context.counters.resumed;
+    this->later([this] {
+        this->current->sent_at = this->context.loop.time().now();
+        this->current->call = this->context.targets.start(this->make_call(), *this);
+    });
 }
 
-http::client_request routed_request::make_call(const helpers::endpoint& address) const {
+http::client_request routed_request::make_call() const {
     const auto request = this->caller->request();
-    const auto left = this->wanted.deadline - this->context.loop.time().now();
+    const auto left = this->state.remaining(this->context.loop.time().now());
     http::client_request call;
-    call.to = address;
+    call.to = this->current->address;
     call.method = request.method;
     call.path = request.path;
     if (!request.query.empty())
@@ -191,38 +253,56 @@
     if (this->relay.events_passed() > 0)
         call.headers.push_back({"x-resume-tokens", std::to_string(this->relay.events_passed())});
     call.body = request.body;
-    // The deadline timer is what ends a silent call.
-    call.first_byte_timeout = this->context.limits.max_deadline;
+    // The deadline timer is what ends a silent call before its answer begins.
+    call.first_byte_timeout =
+        this->relay.begun() ? resume_timeout : this->context.limits.max_deadline;
     call.fresh_connection = this->wanted.non_idempotent;
     return call;
 }
 
+bool routed_request::on_connected() {
+    if (this->state.at() == request::phase::resuming)
+        return true;
+    const auto made = this->state.connected(this->context.loop.time().now());
+    if (made.what == action::send)
+        return true;
+    this->later([this, made] { this->carry_out(made, release_result::not_sent); });
+    return false;
+}
+
+bool routed_request::is_own_answer(const http::header_list& headers) {
+    if (http::find_header(headers, "x-request-id") == this->id_text)
+        return true;
+    ++this->context.counters.crossed_answers;
+    this->context.events.write(kernel::severity::warning, "request.crossed_answer", this->id,
+                               {{"target", helpers::to_string(this->current->address)}});
+    return false;
+}
+
 void routed_request::on_head(int status, const http::header_list& headers) {
-    this->maybe_sent = true;
     auto& running = *this->current;
     running.first_byte = this->context.loop.time().now() - running.sent_at;
-    if (http::find_header(headers, "x-request-id") != this->id_text) {
-        ++this->context.counters.crossed_answers;
-        this->context.events.write(kernel::severity::warning, "request.crossed_answer", this->id,
-                                   {{"target", helpers::to_string(running.address)}});
+    if (!this->is_own_answer(headers)) {
         this->attempt_failed({error_kind::target_failed, "answer of another request"}, true);
         return;
     }
-    const bool is_engine = this->wanted.service.definition->kind == config::target_kind::engine;
-    const bool failed = is_engine ? status >= first_server_error
-                                  : status == service_unavailable && this->may_retry(true);
-    if (failed) {
-        this->attempt_failed(
-            {error_kind::target_failed, "the target answered " + std::to_string(status)}, true);
+    const auto type = http::find_header(headers, "content-type").value_or("");
+    const bool has_events = this->wanted.is_chat && type.starts_with("text/event-stream");
+    running.is_error_answer = status >= first_server_error;
+    if (this->relay.begun() && (running.is_error_answer || !has_events)) {
+        this->attempt_failed({error_kind::answer_truncated, "the stream was not resumed"}, true);
         return;
     }
-    const auto type = http::find_header(headers, "content-type").value_or("");
-    this->relay.start_attempt(status, headers,
-                              this->wanted.is_chat && type.starts_with("text/event-stream"));
+    if (this->relay.begun())
+        this->carry_out(this->state.resumed(), release_result::success);
+    this->relay.start_attempt(status, headers, has_events);
 }
 
 void routed_request::on_body(std::span<const char> data) {
+    const auto before = this->relay.events_passed();
     this->relay.take(data);
+    if (this->relay.begun())
+        this->state.passed(this->relay.events_passed() - before);
     if (this->relay.saw_end()) {
         this->answer_complete();
         return;
@@ -232,132 +312,129 @@
 }
 
 void routed_request::on_done() {
-    if (this->relay.is_whole())
-        this->answer_complete();
-    else
+    if (!this->relay.is_whole())
         this->attempt_failed({error_kind::answer_truncated, "the stream has no end mark"}, true);
+    else if (this->current->is_error_answer && !this->relay.begun())
+        this->carry_out(this->state.attempt_failed(true, this->context.loop.time().now()),
+                        release_result::failure);
+    else
+        this->answer_complete();
 }
 
 void routed_request::on_failed(const kernel::error& reason, bool maybe_sent) {
     this->attempt_failed(reason, maybe_sent);
 }
 
+void routed_request::pass_answer(const request::decision&) {
+    this->relay.finish();
+    this->carry_out(this->state.completed(), release_result::failure);
+}
+
 void routed_request::answer_complete() {
     this->relay.finish();
-    this->end_attempt(release_result::success);
-    this->settle_claim(true);
-    ++this->context.counters.answered;
-    this->end("answered");
+    this->carry_out(this->state.completed(), release_result::success);
 }
 
 void routed_request::attempt_failed(const kernel::error& reason, bool maybe_sent) {
-    this->maybe_sent = this->maybe_sent || maybe_sent;
-    this->end_attempt(release_result::failure);
+    this->reason_detail = reason.detail;
     this->context.events.write(kernel::severity::warning, "request.attempt_failed", this->id,
                                {{"reason", reason.detail}, {"maybe_sent", maybe_sent}});
-    if (!this->may_retry(maybe_sent)) {
-        this->refuse(reason);
-        return;
-    }
-    ++this->context.counters.retried;
-    if (this->relay.begun())
-        ++this->context.counters.resumed;
-    // Not from within the call's own callback.
-    this->wait_timer = this->context.loop.schedule(helpers::duration::zero(), [this] {
-        this->wait_timer = 0;
-        this->reserve();
-    });
-}
-
-bool routed_request::may_retry(bool maybe_sent) const {
-    if (this->tried.size() >= max_attempts)
-        return false;
+    const auto now = this->context.loop.time().now();
+    request::decision made;
     if (this->relay.begun() && !this->relay.resumable())
-        return false;
-    return !maybe_sent || !this->wanted.non_idempotent;
+        made = this->state.give_up(error_kind::answer_truncated);
+    else if (this->relay.begun())
+        made = this->state.stream_broken(now);
+    else
+        made =
+            maybe_sent ? this->state.attempt_failed(false, now) : this->state.connect_failed(now);
+    this->carry_out(made, release_result::failure);
 }
 
 void routed_request::end_attempt(release_result how) {
     if (!this->current)
         return;
-    const admission::release ended{this->current->given.id, how, this->current->first_byte};
-    this->current.reset();
-    this->context.reservations.finish(ended);
-}
-
-void routed_request::deadline_passed() {
-    this->deadline_timer = 0;
-    this->give_up({error_kind::deadline_exceeded, "no answer before the deadline"});
+    const auto ended = std::exchange(this->current, std::nullopt);
+    if (how == release_result::success || how == release_result::failure)
+        this->context.health.record(this->wanted.service.id, ended->given.target,
+                                    how == release_result::failure);
+    this->context.reservations.finish({ended->given.id, how, ended->first_byte});
 }
 
+// An answer that has begun runs to its end.
 void routed_request::give_up(kernel::error reason) {
-    if (this->has_ended || (this->relay.begun() && this->current))
+    if (this->has_ended || this->relay.begun())
         return;
-    if (this->current) {
-        this->maybe_sent = true;
-        this->end_attempt(release_result::cancelled);
-    }
-    this->refuse(std::move(reason));
+    this->reason_detail = std::move(reason.detail);
+    this->carry_out(this->state.give_up(reason.kind), release_result::cancelled);
 }
 
 void routed_request::departed() {
     if (this->has_ended)
         return;
-    if (this->current) {
-        this->maybe_sent = true;
-        this->end_attempt(release_result::cancelled);
-    }
     ++this->context.counters.departed;
-    this->settle_claim(false);
+    const auto made = this->state.caller_left();
+    if (made.release_grant)
+        this->end_attempt(release_result::cancelled);
+    this->settle_claim(made.outcome);
     this->end("departed");
 }
 
-// Invariant: says "not run" only if no byte of the request may have reached a target.
-void routed_request::refuse(kernel::error reason) {
-    if (this->has_ended)
-        return;
-    this->settle_claim(false);
-    if (this->relay.begun()) {
+void routed_request::finish(const request::decision& made) {
+    this->settle_claim(made.outcome);
+    if (made.outcome == request_outcome::answered) {
+        ++this->context.counters.answered;
+        this->end("answered");
+    } else if (this->relay.begun()) {
         ++this->context.counters.broken_streams;
         this->end("broken");
-        return;
+    } else {
+        this->answer_with_error(made);
     }
-    auto outcome = kernel::answer_for(reason.kind).outcome;
-    if (this->maybe_sent)
-        outcome = kernel::request_outcome::unknown;
-    else if (reason.kind == error_kind::target_failed ||
-             reason.kind == error_kind::answer_truncated)
-        outcome = kernel::request_outcome::not_run;
-    ++(outcome == kernel::request_outcome::not_run ? this->context.counters.not_run
-                                                   : this->context.counters.unknown);
-    http::respond_with_error(*this->caller, {std::move(reason), outcome, this->id_text});
+}
+
+void routed_request::answer_with_error(const request::decision& made) {
+    const auto outcome = weaker(made.outcome, kernel::answer_for(made.kind).outcome);
+    ++(outcome == request_outcome::not_run ? this->context.counters.not_run
+                                           : this->context.counters.unknown);
+    http::respond_with_error(*this->caller,
+                             {{made.kind, this->reason_detail}, outcome, this->id_text});
     this->end(kernel::to_string(outcome));
 }
 
-// A claim is given back only if the request provably was not sent.
-void routed_request::settle_claim(bool answered) {
-    if (!this->claim_valid_until)
+// A claim is given back only if this request provably was not sent.
+void routed_request::settle_claim(request_outcome outcome) {
+    if (!std::exchange(this->holds_claim, false))
         return;
-    this->claim_valid_until.reset();
-    if (answered)
+    if (outcome == request_outcome::answered)
         this->context.claims.complete(this->claim);
-    else if (!this->maybe_sent)
+    else if (outcome == request_outcome::not_run)
         this->context.claims.release(this->claim);
 }
 
+void routed_request::later(kernel::task work) {
+    this->context.loop.cancel(this->later_timer);
+    this->later_timer =
+        this->context.loop.schedule(helpers::duration::zero(), [this, work = std::move(work)] {
+            this->later_timer = 0;
+            work();
+        });
+}
+
 void routed_request::end(std::string_view result) {
     this->has_ended = true;
     this->context.loop.cancel(std::exchange(this->deadline_timer, 0));
-    this->context.loop.cancel(std::exchange(this->wait_timer, 0));
+    this->context.loop.cancel(std::exchange(this->later_timer, 0));
     if (std::exchange(this->reservation_pending, false))
         this->context.reservations.cancel(this->id);
+    this->context.turns.leave(this->id);
     const auto took = this->context.loop.time().now() - this->began;
     this->context.events.write(kernel::severity::info, "request.ended", this->id,
                                {{"result", std::string(result)},
                                 {"service", this->wanted.service.definition->name},
                                 {"organisation", this->wanted.organisation.definition->name},
                                 {"status", std::int64_t{this->relay.status()}},
-                                {"attempts", std::uint64_t{this->tried.size()}},
+                                {"attempts", std::uint64_t{this->state.tried().size()}},
                                 {"ms", std::chrono::duration<double, std::milli>(took).count()}});
     this->ended();
 }
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -8,6 +8,7 @@
 #include "router/caller_front.hpp"
 #include "router/fleet_view.hpp"
 #include "router/local_claims.hpp"
+#include "router/local_limit_owner.hpp"
 #include "router/local_reservation.hpp"
 #include "settings/router_settings.hpp"
 
@@ -24,6 +25,7 @@
 
 private:
     request_context make_context(kernel::event_sink& events);
+    void apply_preset();
 
     http::event_loop& loop;
     const settings::router_settings& settings;
@@ -31,6 +33,10 @@
     fleet_view fleet;
     local_reservation reservations;
     local_claims claims;
+    turn_queue turns;
+    local_limit_owner limit_owner;
+    target_health health;
+    request::retry_budget retries;
     http::h2o_client targets;
     caller_front callers;
 };
