--- a/scripts/soaklib/trace.py
+++ b/scripts/soaklib/trace.py
@@ -16,6 +16,7 @@
 executions  service, life, counts: runs by idempotency key, as the stand-in counted them
 """
 
+from collections import defaultdict
 from dataclasses import dataclass, field
 
 
@@ -34,13 +35,16 @@
 
 class Trace:
     def __init__(self):
-        self.observations = []
+        # By kind, in order of addition.
+        self.kinds = defaultdict(list)
 
     def add(self, kind, t, **values):
-        self.observations.append(Observation(t, kind, values))
+        added = Observation(t, kind, values)
+        self.kinds[kind].append(added)
+        return added
 
     def of(self, kind):
-        return sorted((o for o in self.observations if o.kind == kind), key=lambda o: o.t)
+        return sorted(list(self.kinds[kind]), key=lambda o: o.t)
 
     def faults_during(self, begin, end, names=None, on=None):
         """Faults whose time overlaps the interval."""
--- a/tests/process/test_soak_checks.py
+++ b/tests/process/test_soak_checks.py
@@ -174,7 +174,8 @@
 def main():
     cases = [
         load_skew, fresh_targets, late_cold, data_centre, restarted, vm, wrong_answer,
-        broken_answer, not_run, twice, keyless_twice, shutdown, shutdown_code, reverted, slow_spread, no_effect,
+        broken_answer, not_run, twice, keyless_twice, shutdown, shutdown_code, reverted,
+        slow_spread, no_effect,
     ]
     for case in cases:
         good, bad = case(False), case(True)
