--- /dev/null
+++ b/scripts/fleetlib/__init__.py
@@ -0,0 +1,1 @@
+"""A fleet of real processes on local ports: routers, stand-ins, platform."""
--- a/scripts/soaklib/__init__.py
+++ b/scripts/soaklib/__init__.py
@@ -1,1 +1,1 @@
-"""Parts of scripts/soak: the fleet of processes, traffic, faults, and checks of what was observed."""
+"""Parts of scripts/soak: traffic, faults, operators, and checks of what was observed."""
--- a/scripts/soaklib/faults.py
+++ b/scripts/soaklib/faults.py
@@ -4,8 +4,8 @@
 import threading
 import time
 
-from .fleet import CHAT_SERVICE
-from .http_call import call
+from fleetlib.fleet import CHAT_SERVICE
+from fleetlib.http_call import call
 
 LIST_LAG_SECONDS = (0.3, 2.0)
 GRACE_SECONDS = 45
--- a/scripts/soaklib/operators.py
+++ b/scripts/soaklib/operators.py
@@ -6,8 +6,8 @@
 import uuid
 
 from .checks import FOLLOW_SECONDS
-from .fleet import MODEL, sha256
-from .http_call import call
+from fleetlib.fleet import MODEL, sha256
+from fleetlib.http_call import call
 
 ATTEMPTS = 6
 PAUSE_SECONDS = 0.5
--- a/scripts/soaklib/traffic.py
+++ b/scripts/soaklib/traffic.py
@@ -6,8 +6,8 @@
 import threading
 import time
 
-from .fleet import MODEL
-from .http_call import call
+from fleetlib.fleet import MODEL
+from fleetlib.http_call import call
 
 REQUEST_SECONDS = 40
 RETRIES = 2
--- a/scripts/soaklib/watcher.py
+++ b/scripts/soaklib/watcher.py
@@ -3,8 +3,8 @@
 import threading
 import time
 
-from .fleet import BOOKING_SERVICE
-from .http_call import get_json
+from fleetlib.fleet import BOOKING_SERVICE
+from fleetlib.http_call import get_json
 
 ROUND_SECONDS = 0.1
 ROUTER_SECONDS = 0.25
