--- a/tests/admin/test_admin_handler.cpp
+++ b/tests/admin/test_admin_handler.cpp
@@ -1,8 +1,10 @@
 // The administration API: access, every answer of a change, conditional changes, paging, audit.
+#include "admin/admin_front.hpp"
 #include "admin/admin_handler.hpp"
 #include "config/changes.hpp"
 #include "config/checks.hpp"
 #include "config/documents.hpp"
+#include "tests/http/loopback.hpp"
 #include "tests/store/fake_exchange.hpp"
 
 #include <doctest/doctest.h>
@@ -251,3 +253,27 @@
     CHECK(answer.status == 200);
     CHECK(this->events.events.back().at("to_version") == 9);
 }
+
+TEST_CASE_FIXTURE(admin_fixture, "the operators' listener serves the API over TCP") {
+    http::event_loop loop;
+    settings::router_settings wanted;
+    wanted.admin_listen = {"127.0.0.1", 0};
+    wanted.admin_tokens = {{"bob", admin::token_hash("write"), settings::admin_role::reader}};
+    admin::admin_front front(loop, wanted, {configuration, fleet, metrics, events, random});
+    kernel::error reason;
+    REQUIRE(front.listen(reason));
+    http::h2o_client client(loop, {});
+    tests::recorded_answer answer;
+    http::client_request request;
+    request.to = {"127.0.0.1", front.port()};
+    request.path = "/admin/v1/preset";
+    request.headers = {{"authorization", "Bearer write"}};
+    const auto call = client.start(request, answer);
+    tests::run_until(loop, [&] { return answer.ended(); });
+    CHECK(answer.status == 200);
+    CHECK(json::parse(answer.body).at("name") == "ordinary");
+    wanted.admin_tls = settings::tls_settings{"/nonexistent/crt", "/nonexistent/key"};
+    admin::admin_front faulty(loop, wanted, {configuration, fleet, metrics, events, random});
+    CHECK_FALSE(faulty.listen(reason));
+    CHECK(reason.detail.find("/nonexistent/crt") != std::string::npos);
+}
