Compose one router of a fleet: membership, configuration, share leases, limits, administration

Cause: the daemon routed only by itself, with a fixed configuration and reservations of its own process. Change: router::router wires store, transport, membership, configuration, shares, limits, status and metrics; router::standalone_router keeps the way without a platform; both are a router::daemon. Conclusion: claims are still those of one process; the fleet's follow.

--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -3,6 +3,7 @@
 #include "debug/json_log.hpp"
 #include "http/event_loop.hpp"
 #include "router/router.hpp"
+#include "router/standalone_router.hpp"
 #include "router/static_configuration.hpp"
 #include "settings/router_settings.hpp"
 #include "store/store_json.hpp"
@@ -43,6 +44,13 @@
     {nullptr, 0, nullptr, 0},
 }};
 
+struct daemon_parts {
+    http::event_loop& loop;
+    kernel::hybrid_clock& order;
+    const settings::router_settings& settings;
+    kernel::event_sink& events;
+};
+
 struct command_line {
     std::string config_file;
     std::string configuration_file;
@@ -95,6 +103,44 @@
                                                           std::move(*listed));
 }
 
+struct opened_daemon {
+    // Set in a standalone router only.
+    std::unique_ptr<config::configuration_service> fixed;
+    std::unique_ptr<router::daemon> daemon;
+};
+
+opened_daemon open_standalone(const command_line& command, const daemon_parts& parts,
+                              kernel::error& reason) {
+    opened_daemon result;
+    result.fixed = read_fixed(command, parts.loop.time());
+    if (result.fixed == nullptr)
+        return result;
+    auto router = std::make_unique<router::standalone_router>(parts.loop, parts.settings,
+                                                              *result.fixed, parts.events);
+    if (router->start(reason))
+        result.daemon = std::move(router);
+    return result;
+}
+
+opened_daemon open_daemon(const command_line& command, const daemon_parts& parts,
+                          kernel::error& reason) {
+    if (!command.configuration_file.empty() || !command.vms_file.empty())
+        return open_standalone(command, parts, reason);
+    return {nullptr,
+            router::router::open(parts.loop, parts.order, parts.settings, parts.events, reason)};
+}
+
+void announce(const settings::router_settings& settings, const router::daemon_ports& ports,
+              kernel::event_sink& events) {
+    std::printf("{\"name\":\"%s\",\"caller_port\":%d,\"admin_port\":%d,\"peer_port\":%d}\n",
+                settings.name.c_str(), ports.caller, ports.admin, ports.peer);
+    std::fflush(stdout);
+    events.write(kernel::severity::info, "router.started", std::nullopt,
+                 {{"caller_port", std::uint64_t{ports.caller}},
+                  {"admin_port", std::uint64_t{ports.admin}},
+                  {"peer_port", std::uint64_t{ports.peer}}});
+}
+
 int run(const command_line& command, const settings::router_settings& settings) {
     http::event_loop loop;
     kernel::hybrid_clock order(loop.time());
@@ -105,24 +151,14 @@
         std::fprintf(stderr, "%s\n", reason.detail.c_str());
         return EXIT_FAILURE;
     }
-    const auto configuration = read_fixed(command, loop.time());
-    if (configuration == nullptr)
-        return EXIT_FAILURE;
-    router::router router(loop, settings, *configuration, *log);
-    if (!router.start(reason)) {
+    const auto opened = open_daemon(command, {loop, order, settings, *log}, reason);
+    if (opened.daemon == nullptr) {
         std::fprintf(stderr, "%s\n", reason.detail.c_str());
         return EXIT_FAILURE;
     }
-    std::printf("{\"name\":\"%s\",\"caller_port\":%d}\n", settings.name.c_str(),
-                router.front().port());
-    std::fflush(stdout);
-    log->write(kernel::severity::info, "router.started", std::nullopt,
-               {{"caller_port", std::uint64_t{router.front().port()}}});
-    loop.on_terminate([&] {
-        log->write(kernel::severity::info, "router.leaving", std::nullopt, {});
-        router.leave([&loop] { loop.stop(); });
-    });
-    loop.on_reload([&] { router.front().reload_keys(); });
+    announce(settings, opened.daemon->ports(), *log);
+    loop.on_terminate([&] { opened.daemon->leave([&loop] { loop.stop(); }); });
+    loop.on_reload([&] { opened.daemon->reload_keys(); });
     loop.run();
     log->write(kernel::severity::info, "router.stopped", std::nullopt, {});
     return EXIT_SUCCESS;
--- a/src/router/caller_front.hpp
+++ b/src/router/caller_front.hpp
@@ -23,6 +23,7 @@
     bool listen(kernel::error& reason);
     std::uint16_t port() const { return this->server->port(); }
     request_handler& handler() { return this->requests; }
+    const request_handler& handler() const { return this->requests; }
 
     // Reads the TLS keys again; the old ones stay if the new ones are faulty.
     void reload_keys();
--- /dev/null
+++ b/src/router/fleet_status.hpp
@@ -0,0 +1,43 @@
+// What the administration API shows of this router and of the fleet as this router sees it.
+#pragma once
+
+#include "admin/fleet_view.hpp"
+#include "router/membership_service.hpp"
+#include "router/request_path.hpp"
+#include "router/share_service.hpp"
+#include "store/monitored_store.hpp"
+
+namespace samphirespool::router {
+
+// Invariant: all outlive the status.
+struct status_sources {
+    const kernel::clock& time;
+    const settings::router_settings& settings;
+    const router_identity& self;
+    const membership_service& members;
+    const fleet_view& fleet;
+    const share_service& shares;
+    const request_path& path;
+    const store::monitored_store& store;
+};
+
+class fleet_status final : public admin::fleet_view {
+public:
+    explicit fleet_status(const status_sources& sources);
+
+    admin::own_status status() const override;
+    std::vector<admin::member_status> members() const override;
+    std::vector<admin::target_status> targets() const override;
+
+private:
+    admin::target_status target_of(const helpers::vm_entry& vm,
+                                   const helpers::target_entry& target) const;
+    void add_load(admin::target_status& shown, helpers::target_id target) const;
+    std::string reason_against(const helpers::vm_entry& vm) const;
+    std::string name_of(helpers::router_id id) const;
+
+    status_sources sources;
+    helpers::time_point started;
+};
+
+} // namespace samphirespool::router
--- a/src/router/fleet_view.hpp
+++ b/src/router/fleet_view.hpp
@@ -38,6 +38,9 @@
         return this->directory.targets(service);
     }
 
+    // The platform's list of VMs as last learnt.
+    const std::vector<helpers::vm_entry>& vms() const { return this->configuration.vms(); }
+
     void set_ejected(std::unordered_set<helpers::target_id> targets);
 
     // Runs after configuration or targets changed.
--- a/src/router/request_context.hpp
+++ b/src/router/request_context.hpp
@@ -8,6 +8,7 @@
 #include "kernel/loop.hpp"
 #include "request/retry_budget.hpp"
 #include "router/fleet_view.hpp"
+#include "router/identity.hpp"
 #include "router/target_health.hpp"
 #include "router/turn_queue.hpp"
 
@@ -15,13 +16,6 @@
 
 namespace samphirespool::router {
 
-struct router_identity {
-    helpers::router_id id;
-    helpers::incarnation life;
-    helpers::data_centre_id data_centre;
-    helpers::region_id region;
-};
-
 struct request_limits {
     helpers::duration max_deadline = std::chrono::minutes(10);
     std::size_t max_live_requests = 10'000;
--- a/src/router/request_handler.hpp
+++ b/src/router/request_handler.hpp
@@ -21,6 +21,7 @@
 
     // The health check fails while not ready, for instance without peers and store.
     void set_ready(bool value) { this->ready = value; }
+    bool is_ready() const { return this->ready && !this->leaving; }
 
     // From now on the health check fails and new requests are refused; those in progress go on.
     void leave() { this->leaving = true; }
--- /dev/null
+++ b/src/router/request_path.cpp
@@ -0,0 +1,51 @@
+// Wires what all requests of a router share.
+#include "router/request_path.hpp"
+
+namespace samphirespool::router {
+
+namespace {
+
+// An organisation may fill this part of the queue.
+constexpr std::size_t queue_part = 4;
+
+request_limits limits_of(const settings::router_settings& settings) {
+    request_limits limits;
+    limits.max_deadline = settings.max_deadline;
+    limits.max_live_requests = settings.max_queued_requests;
+    return limits;
+}
+
+} // namespace
+
+request_path::request_path(http::event_loop& loop, const settings::router_settings& settings,
+                           const router_identity& self, fleet_view& fleet,
+                           admission::reservation_service& reservations,
+                           claims::claim_service& claims, http::client& targets,
+                           kernel::event_sink& events)
+    : fleet(fleet),
+      turns(loop, fleet, self.id,
+            {settings.max_queued_requests, settings.max_queued_requests / queue_part}),
+      health(loop, fleet, events),
+      callers(loop, settings,
+              request_context{loop,
+                              fleet,
+                              reservations,
+                              claims,
+                              this->turns,
+                              this->health,
+                              this->retries,
+                              targets,
+                              events,
+                              self,
+                              limits_of(settings),
+                              {}}) {
+    fleet.on_change([this] { this->apply_preset(); });
+    this->apply_preset();
+}
+
+void request_path::apply_preset() {
+    if (const auto index = this->fleet.index())
+        this->retries.set_share(index->configuration().preset().retry_share);
+}
+
+} // namespace samphirespool::router
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -1,57 +1,176 @@
-// Wires the managers of one router together.
+// Wires the managers of one router together, and carries it from start to end.
 #include "router/router.hpp"
 
-#include <random>
+#include "admin/metric_sources.hpp"
+#include "router/metric_sources.hpp"
 
 namespace samphirespool::router {
 
 namespace {
 
-// An organisation may fill this part of the queue.
-constexpr std::size_t queue_part = 4;
+constexpr helpers::duration tick_period = std::chrono::milliseconds(100);
+// Longest wait until the owners have taken over what this router granted.
+constexpr helpers::duration max_hand_over = std::chrono::seconds(3);
+// From the last word to the members until the process may end.
+constexpr helpers::duration last_flush = std::chrono::milliseconds(100);
 
-std::uint64_t seed_of(const settings::router_settings& settings) {
-    return settings.seed != 0 ? settings.seed : std::random_device{}();
+membership::member_record record_of(const settings::router_settings& settings,
+                                    const router_identity& identity,
+                                    const helpers::endpoint& address) {
+    membership::member_record record;
+    record.id = identity.id;
+    record.name = settings.name;
+    record.address = address;
+    record.data_centre = settings.data_centre;
+    record.region = settings.region;
+    record.life = identity.life;
+    return record;
 }
 
 } // namespace
 
-router::router(http::event_loop& loop, const settings::router_settings& settings,
-               config::configuration_service& configuration, kernel::event_sink& events)
+struct router::fleet_part {
+    explicit fleet_part(router& owner)
+        : members(owner.loop, owner.random, owner.transport, owner.store, owner.events,
+                  record_of(owner.settings, owner.identity, owner.transport.self()),
+                  owner.settings.seeds),
+          directory(members.view()),
+          link(owner.transport),
+          configuration(owner.loop, owner.random, owner.events, owner.store, link, directory, {}),
+          view(owner.loop, owner.random, configuration),
+          shares(owner.loop, owner.transport, members, view, owner.target_client),
+          claims(owner.loop.time()),
+          path(owner.loop, owner.settings, owner.identity, view, shares.reservations(), claims,
+               owner.target_client, owner.events),
+          limits(owner.loop, owner.transport, members, view, path.waiting()),
+          status({owner.loop.time(), owner.settings, owner.identity, members, view, shares, path,
+                  owner.store}),
+          admin(owner.loop, owner.settings,
+                {configuration, status, owner.metrics, owner.events, owner.random}) {}
+
+    membership_service members;
+    member_directory directory;
+    wire::configuration_link link;
+    store::configuration_store configuration;
+    fleet_view view;
+    share_service shares;
+    local_claims claims;
+    request_path path;
+    limit_service limits;
+    fleet_status status;
+    admin::admin_front admin;
+};
+
+std::unique_ptr<router> router::open(http::event_loop& loop, kernel::hybrid_clock& order,
+                                     const settings::router_settings& settings,
+                                     kernel::event_sink& events, kernel::error& reason) {
+    auto keys = wire::parse_fleet_keys(settings.fleet_keys);
+    if (!keys) {
+        reason = {kernel::error_kind::invalid_settings, "fleet_keys cannot be used"};
+        return nullptr;
+    }
+    std::unique_ptr<router> result(new router(loop, order, settings, events, std::move(*keys)));
+    if (auto fault = result->transport.start()) {
+        reason = std::move(*fault);
+        return nullptr;
+    }
+    result->fleet = std::make_unique<fleet_part>(*result);
+    auto& fleet = *result->fleet;
+    if (!fleet.path.front().listen(reason) || !fleet.admin.listen(reason))
+        return nullptr;
+    result->transport.on_refused(
+        [&fleet](const auto& address) { fleet.members.on_refused(address); });
+    fleet.path.front().handler().set_ready(false);
+    fleet.configuration.on_change([&fleet] {
+        if (const auto now = fleet.configuration.current())
+            fleet.members.set_configuration(now->version);
+        fleet.members.confirm(fleet.configuration.vms());
+    });
+    admin::watch_transport(result->metrics, result->transport.counters());
+    admin::watch_process(result->metrics);
+    watch_router(result->metrics, {fleet.path, fleet.shares, fleet.members, result->store});
+    fleet.configuration.start();
+    result->tick();
+    return result;
+}
+
+router::router(http::event_loop& loop, kernel::hybrid_clock& order,
+               const settings::router_settings& settings, kernel::event_sink& events,
+               std::vector<wire::bytes> keys)
     : loop(loop),
       settings(settings),
+      events(events),
+      identity(make_identity(settings, loop.time())),
       random(seed_of(settings)),
-      fleet(loop, this->random, configuration),
-      reservations(loop, this->fleet, settings.max_queued_requests),
-      claims(loop.time()),
-      turns(loop, this->fleet, helpers::id_of<helpers::router_id>(settings.name),
-            {settings.max_queued_requests, settings.max_queued_requests / queue_part}),
-      limit_owner(loop, this->fleet, this->turns),
-      health(loop, this->fleet, events),
-      targets(loop, {}),
-      callers(loop, settings, this->make_context(events)) {
-    this->fleet.on_change([this] { this->apply_preset(); });
-    this->apply_preset();
-}
-
-void router::apply_preset() {
-    if (const auto index = this->fleet.index())
-        this->retries.set_share(index->configuration().preset().retry_share);
-}
-
-request_context router::make_context(kernel::event_sink& events) {
-    const router_identity self{
-        helpers::id_of<helpers::router_id>(this->settings.name),
-        helpers::incarnation{static_cast<std::uint64_t>(this->loop.time().wall())},
-        helpers::id_of<helpers::data_centre_id>(this->settings.data_centre),
-        helpers::id_of<helpers::region_id>(this->settings.region)};
-    request_limits limits;
-    limits.max_deadline = this->settings.max_deadline;
-    limits.max_live_requests = this->settings.max_queued_requests;
-    return {this->loop,    this->fleet,   this->reservations,
-            this->claims,  this->turns,   this->health,
-            this->retries, this->targets, events,
-            self,          limits,        {}};
+      metrics(loop.time()),
+      transport(loop, order, this->random,
+                {settings.peer_listen, this->identity.life, std::move(keys)}),
+      store_client(loop, {}),
+      target_client(loop, {}),
+      http_store(loop, this->store_client, {settings.store}),
+      store(this->http_store) {}
+
+router::~router() {
+    this->loop.cancel(this->timer);
+}
+
+daemon_ports router::ports() const {
+    return {this->fleet->path.front().port(), this->fleet->admin.port(),
+            this->transport.self().port};
+}
+
+bool router::is_ready() const {
+    if (this->fleet->configuration.current() == nullptr)
+        return false;
+    // Without peers and store nobody can tell this router of a change.
+    return this->store.reachable() || this->fleet->members.live_count() > 1;
+}
+
+void router::tick() {
+    this->timer = this->loop.schedule(tick_period, [this] { this->tick(); });
+    const bool ready = this->is_ready();
+    this->fleet->path.front().handler().set_ready(ready);
+    auto& members = this->fleet->members;
+    if (this->left)
+        return;
+    if (ready && members.view().self().state == membership::member_state::joining)
+        members.become(membership::member_state::ready);
+    if (!members.superseded())
+        return;
+    this->events.write(kernel::severity::error, "router.superseded", std::nullopt,
+                       {{"name", this->settings.name}});
+    this->leave([this] { this->loop.stop(); });
+}
+
+void router::leave(kernel::task done) {
+    if (this->left)
+        return;
+    this->left = std::move(done);
+    this->events.write(kernel::severity::info, "router.leaving", std::nullopt, {});
+    this->fleet->members.become(membership::member_state::leaving);
+    this->fleet->path.front().leave([this] {
+        this->hand_over_until = this->loop.time().now() + max_hand_over;
+        this->hand_over();
+    });
+}
+
+void router::hand_over() {
+    const bool late = this->loop.time().now() >= this->hand_over_until;
+    if (!late && !this->fleet->shares.shares().handed_over()) {
+        this->loop.schedule(tick_period, [this] { this->hand_over(); });
+        return;
+    }
+    this->finish_leaving();
+}
+
+void router::finish_leaving() {
+    this->fleet->members.leave();
+    this->loop.schedule(last_flush, [this] { this->left(); });
+}
+
+void router::reload_keys() {
+    this->fleet->path.front().reload_keys();
+    this->fleet->admin.reload_keys();
 }
 
 } // namespace samphirespool::router
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -1,44 +1,62 @@
-// One router: the composition of its managers.
+// One router of a fleet: the composition of its managers.
 #pragma once
 
-#include "http/event_loop.hpp"
-#include "http/h2o_client.hpp"
-#include "kernel/event.hpp"
-#include "kernel/random.hpp"
-#include "router/caller_front.hpp"
-#include "router/fleet_view.hpp"
+#include "admin/admin_front.hpp"
+#include "router/daemon.hpp"
+#include "router/fleet_status.hpp"
+#include "router/limit_service.hpp"
 #include "router/local_claims.hpp"
-#include "router/local_limit_owner.hpp"
-#include "router/local_reservation.hpp"
-#include "settings/router_settings.hpp"
+#include "router/member_directory.hpp"
+#include "router/request_path.hpp"
+#include "router/share_service.hpp"
+#include "store/configuration_store.hpp"
+#include "store/http_object_store.hpp"
+#include "store/monitored_store.hpp"
+#include "wire/configuration_link.hpp"
+#include "wire/tcp_transport.hpp"
 
 namespace samphirespool::router {
 
-class router {
+class router final : public daemon {
 public:
-    router(http::event_loop& loop, const settings::router_settings& settings,
-           config::configuration_service& configuration, kernel::event_sink& events);
+    // Returns null, with the reason, if an address or a key cannot be used.
+    static std::unique_ptr<router> open(http::event_loop& loop, kernel::hybrid_clock& order,
+                                        const settings::router_settings& settings,
+                                        kernel::event_sink& events, kernel::error& reason);
+    ~router() override;
 
-    bool start(kernel::error& reason) { return this->callers.listen(reason); }
-    void leave(kernel::task done) { this->callers.leave(std::move(done)); }
-    caller_front& front() { return this->callers; }
+    daemon_ports ports() const override;
+    void leave(kernel::task done) override;
+    void reload_keys() override;
 
 private:
-    request_context make_context(kernel::event_sink& events);
-    void apply_preset();
+    router(http::event_loop& loop, kernel::hybrid_clock& order,
+           const settings::router_settings& settings, kernel::event_sink& events,
+           std::vector<wire::bytes> keys);
+
+    // What needs the peer address in use, which is known once the transport listens.
+    struct fleet_part;
+
+    void tick();
+    void hand_over();
+    void finish_leaving();
+    bool is_ready() const;
 
     http::event_loop& loop;
     const settings::router_settings& settings;
+    kernel::event_sink& events;
+    router_identity identity;
     kernel::random_source random;
-    fleet_view fleet;
-    local_reservation reservations;
-    local_claims claims;
-    turn_queue turns;
-    local_limit_owner limit_owner;
-    target_health health;
-    request::retry_budget retries;
-    http::h2o_client targets;
-    caller_front callers;
+    debug::metrics metrics;
+    wire::tcp_transport transport;
+    http::h2o_client store_client;
+    http::h2o_client target_client;
+    store::http_object_store http_store;
+    store::monitored_store store;
+    std::unique_ptr<fleet_part> fleet;
+    kernel::timer_id timer = 0;
+    kernel::task left;
+    helpers::time_point hand_over_until{};
 };
 
 } // namespace samphirespool::router
--- a/src/router/turn_queue.cpp
+++ b/src/router/turn_queue.cpp
@@ -1,6 +1,8 @@
 // Gives turns as soon as limits and the bound on reservations allow.
 #include "router/turn_queue.hpp"
 
+#include "router/limits_in_force.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -42,12 +44,10 @@
             changed == preset.organisation_weights.end() ? each.weight : changed->second;
         if (weight != 1)
             weights.emplace(id, weight);
-        if (each.max_requests_per_second == 0 && each.max_in_flight == 0)
-            continue;
-        const auto in_flight = static_cast<double>(each.max_in_flight) * preset.limit_factor;
-        this->limited.push_back(id);
-        this->shares.set_limit(id, {each.max_requests_per_second * preset.limit_factor,
-                                    static_cast<std::uint32_t>(in_flight)});
+    }
+    for (const auto& each : limits_in_force(index->configuration())) {
+        this->limited.push_back(each.organisation);
+        this->shares.set_limit(each.organisation, each.limit);
     }
     std::sort(this->limited.begin(), this->limited.end());
     for (const auto id : no_longer)
--- a/tests/router/small_fleet.hpp
+++ b/tests/router/small_fleet.hpp
@@ -4,7 +4,7 @@
 #include "config/checks.hpp"
 #include "kernel/event.hpp"
 #include "router/configuration_index.hpp"
-#include "router/router.hpp"
+#include "router/standalone_router.hpp"
 #include "router/static_configuration.hpp"
 #include "tests/http/loopback.hpp"
 
@@ -53,8 +53,8 @@
         this->settings.region = "r";
         this->settings.caller_listen = {"127.0.0.1", 0};
         this->settings.seed = 1;
-        this->router = std::make_unique<router::router>(this->loop, this->settings,
-                                                        this->configuration, this->events);
+        this->router = std::make_unique<router::standalone_router>(
+            this->loop, this->settings, this->configuration, this->events);
         kernel::error reason;
         this->router->start(reason);
     }
@@ -121,7 +121,7 @@
     std::vector<std::unique_ptr<scripted_target>> services;
     router::static_configuration configuration;
     settings::router_settings settings;
-    std::unique_ptr<router::router> router;
+    std::unique_ptr<router::standalone_router> router;
     http::h2o_client client{loop, {}};
     std::vector<std::unique_ptr<recorded_answer>> answers;
     std::vector<std::unique_ptr<http::client_call>> calls;
