--- a/src/http/h2o_server.cpp
+++ b/src/http/h2o_server.cpp
@@ -23,6 +23,7 @@
 constexpr int accepts_per_wakeup = 64;
 constexpr auto sweep_interval = std::chrono::seconds(1);
 constexpr std::string_view server_name = "samphirespool";
+constexpr std::string_view outcome_header = "x-outcome";
 constexpr std::string_view overload_answer =
     "HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\nretry-after: 1\r\n"
     "x-outcome: not run\r\nconnection: close\r\n\r\n"
@@ -77,7 +78,8 @@
       limits(limits),
       keys(keys),
       handler(std::move(handler)),
-      bound_port(socket_address::local_port(descriptor)) {
+      bound_port(socket_address::local_port(descriptor)),
+      refused(loop) {
     this->setup_h2o();
     this->listener = h2o_evloop_socket_create(loop.native(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
     this->listener->data = this;
@@ -91,6 +93,7 @@
     this->stop_accepting();
     this->loop.cancel(this->sweep_timer);
     this->state->slot->owner = nullptr;
+    this->state->refusals->owner = nullptr;
     if (this->state->open.empty()) {
         h2o_context_dispose(&this->state->context);
         h2o_config_dispose(&this->state->configuration);
@@ -120,6 +123,10 @@
         reinterpret_cast<handler_slot*>(h2o_create_handler(path, sizeof(handler_slot)));
     this->state->slot->super.on_req = on_request;
     this->state->slot->owner = this;
+    this->state->refusals = reinterpret_cast<refusal_slot*>(
+        h2o_create_filter(&host->fallback_path, sizeof(refusal_slot)));
+    this->state->refusals->super.on_setup_ostream = on_refusal;
+    this->state->refusals->owner = this;
     h2o_context_init(&this->state->context, this->loop.native(), &this->state->configuration);
     this->state->accept_context.ctx = &this->state->context;
     this->state->accept_context.hosts = this->state->configuration.hosts;
@@ -176,6 +183,18 @@
         record->owner->state->open.erase(record->place);
 }
 
+// h2o answers these before a handler sees the request.
+void h2o_server::on_refusal(h2o_filter_t* self, h2o_req_t* request, h2o_ostream_t** slot) {
+    auto* owner = reinterpret_cast<refusal_slot*>(self)->owner;
+    const auto outcome = kernel::to_string(kernel::request_outcome::not_run);
+    h2o_add_header_by_str(&request->pool, &request->res.headers, outcome_header.data(),
+                          outcome_header.size(), 0, nullptr, outcome.data(), outcome.size());
+    if (owner != nullptr)
+        owner->refused.linger(
+            h2o_socket_get_fd(request->conn->callbacks->get_socket(request->conn)));
+    h2o_setup_next_ostream(request, slot);
+}
+
 int h2o_server::on_request(h2o_handler_t* self, h2o_req_t* request) {
     auto* owner = reinterpret_cast<handler_slot*>(self)->owner;
     if (owner == nullptr)
--- a/src/http/h2o_server.hpp
+++ b/src/http/h2o_server.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "http/event_loop.hpp"
+#include "http/lingering_close.hpp"
 #include "http/response_stream.hpp"
 #include "http/server.hpp"
 #include "http/tls_keys.hpp"
@@ -42,12 +43,19 @@
         h2o_server* owner;
     };
 
+    // Sees the refusals that h2o makes by itself, such as of a body that is too large.
+    struct refusal_slot {
+        h2o_filter_t super;
+        h2o_server* owner;
+    };
+
     // What h2o's open connections refer to.
     struct h2o_state {
         h2o_globalconf_t configuration{};
         h2o_context_t context{};
         h2o_accept_ctx_t accept_context{};
         handler_slot* slot = nullptr;
+        refusal_slot* refusals = nullptr;
         std::list<connection> open;
     };
 
@@ -56,6 +64,7 @@
 
     static void on_accept(h2o_socket_t* listener, const char* error);
     static void on_close(void* data);
+    static void on_refusal(h2o_filter_t* self, h2o_req_t* request, h2o_ostream_t** slot);
     static int on_request(h2o_handler_t* self, h2o_req_t* request);
 
     void setup_h2o();
@@ -73,6 +82,7 @@
     h2o_socket_t* listener = nullptr;
     std::uint16_t bound_port = 0;
     kernel::timer_id sweep_timer = 0;
+    lingering_close refused;
 };
 
 } // namespace samphirespool::http
--- /dev/null
+++ b/tests/process/test_crossed_answers.py
@@ -0,0 +1,109 @@
+#!/usr/bin/env python3
+"""Targets that answer twice, late, crossed or in part: no caller ever reads another's answer.
+
+The target speaks on raw sockets, so that it can do what no proper server does. The prompt says how
+it misbehaves; a proper answer repeats the prompt.
+"""
+import contextlib
+import json
+import os
+import socket
+import sys
+import threading
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "support"))
+from router_process import chat_body, exchange, request_bytes, start_router
+
+CHAT = "/v1/chat/completions"
+
+
+def answer_to(request_id, prompt):
+    body = json.dumps({"echo": prompt}).encode()
+    return (f"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nx-request-id: {request_id}\r\n"
+            f"content-length: {len(body)}\r\n\r\n").encode() + body
+
+
+class RawTarget:
+    """Serves keep-alive connections, one thread each."""
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self.listener.accept()
+                threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        earlier = b""
+        with contextlib.suppress(OSError), connection, connection.makefile("rb") as stream:
+            while True:
+                request_id, prompt = self.read_request(stream)
+                if request_id is None:
+                    return
+                proper = answer_to(request_id, prompt)
+                kind = prompt.split()[0]
+                if kind == "truncated":
+                    connection.sendall(proper[:-3])
+                    return
+                if kind == "crossed":
+                    connection.sendall(answer_to("0-0-0", "of another"))
+                elif kind == "repeated":
+                    # The answer to the request before, first.
+                    connection.sendall(earlier + proper)
+                elif kind == "twice":
+                    connection.sendall(proper + proper)
+                elif kind == "late":
+                    threading.Event().wait(0.3)
+                    connection.sendall(proper)
+                else:
+                    connection.sendall(proper)
+                earlier = proper
+
+    @staticmethod
+    def read_request(stream):
+        headers = {}
+        if not stream.readline():
+            return None, None
+        while True:
+            line = stream.readline().strip().decode()
+            if not line:
+                break
+            name, value = line.split(":", 1)
+            headers[name.lower()] = value.strip()
+        body = json.loads(stream.read(int(headers["content-length"])))
+        return headers["x-request-id"], body["messages"][0]["content"]
+
+
+def main():
+    build = sys.argv[1]
+    with contextlib.ExitStack() as stack:
+        targets = [RawTarget() for _ in range(2)]
+        router = start_router(stack, build, [("llm", target.port) for target in targets])
+        front = router.ready["caller_port"]
+        kinds = ["proper", "twice", "repeated", "crossed", "truncated", "late"]
+        answered = 0
+        for number in range(120):
+            prompt = f"{kinds[number * 7 % len(kinds)]} {number}"
+            headers = ["x-deadline-ms: 100"] if prompt.startswith("late") else []
+            answer = exchange(front, request_bytes("POST", CHAT, chat_body(prompt), headers))
+            head, body = answer.split(b"\r\n\r\n", 1)
+            content = json.loads(body)
+            if b" 200 " in head.split(b"\r\n")[0]:
+                assert content == {"echo": prompt}, (prompt, answer)
+                answered += 1
+            else:
+                assert content["error"]["outcome"] in ("not run", "outcome unknown"), answer
+                assert b"echo" not in body, answer
+            if prompt.startswith("late"):
+                assert b" 504 " in head, answer
+        assert answered >= 20, f"only {answered} of 120 were answered"
+        router.terminate()
+        assert router.exit_code() == 0
+
+
+if __name__ == "__main__":
+    main()
