--- a/bench/path/run.py
+++ b/bench/path/run.py
@@ -34,6 +34,11 @@
             fields = file.read().rsplit(")", 1)[1].split()
         return (int(fields[11]) + int(fields[12])) / TICKS
 
+    def wait_seconds(self):
+        """Time spent ready to run while other processes held the processors."""
+        with open(f"/proc/{self.child.pid}/schedstat") as file:
+            return int(file.read().split()[1]) / 1e9
+
     def resident_bytes(self):
         with open(f"/proc/{self.child.pid}/statm") as file:
             return int(file.read().split()[1]) * PAGE
@@ -106,6 +111,7 @@
             command += ["--to", address]
         started = time.monotonic()
         before = self.router.cpu_seconds()
+        waited_before = self.router.wait_seconds()
         runs = [subprocess.Popen(command + list(options) + ["--seed", str(seed + 1)],
                                  stdout=subprocess.PIPE, text=True) for seed in range(tools)]
         results = [json.loads(run.communicate()[0]) for run in runs]
@@ -114,6 +120,7 @@
             if result["wrong"] or result["broken"] or result["unanswered"]:
                 sys.exit(f"the load was not answered whole: {json.dumps(result)}")
         share = (self.router.cpu_seconds() - before) / elapsed
+        self.waited = (self.router.wait_seconds() - waited_before) / elapsed
         return results, share
 
 
@@ -170,6 +177,7 @@
                 emit(f"{what} {quantile} at half load", with_router, "ms", without)
                 emit(f"added {what} {quantile} at half load", with_router - without, "ms")
         emit("share of the core used at half load", share, "cores")
+        emit("share of the time waited for a core at half load", fleet.waited, "cores")
 
 
 def bench_idle(build, _seconds):
--- a/src/router/caller_request.cpp
+++ b/src/router/caller_request.cpp
@@ -105,14 +105,12 @@
         const auto* found = this->result.index->service_by_model(chat->model);
         if (found == nullptr)
             return this->fail(error_kind::unknown_service, "no service has this model");
-        const std::vector<std::string_view> opening(chat->opening_messages.begin(),
-                                                    chat->opening_messages.end());
         this->result.service = *found;
         this->result.stream = chat->stream;
         this->result.cost_tokens = cost_of(this->request, *chat);
-        this->result.chat =
-            placement::make_chat_key(header(this->request, "x-chat-key"),
-                                     this->result.organisation.id, chat->model, opening);
+        this->result.chat = placement::make_chat_key(header(this->request, "x-chat-key"),
+                                                     this->result.organisation.id, chat->model,
+                                                     chat->opening_messages);
         return true;
     }
 
