--- a/scripts/soaklib/checks.py
+++ b/scripts/soaklib/checks.py
@@ -152,9 +152,25 @@
         verdict.exercised += len(refusals)
         if refusals and runs.get(key, 0) > 0:
             verdict.violate(refusals[0].t, f"{key} ran though it was refused", *tries)
+    check_attempts(trace, verdict)
     return verdict
 
 
+def check_attempts(trace, verdict):
+    """No router may log an attempt that may have been sent for a request that it called not run."""
+    attempts = defaultdict(list)
+    for event in trace.of("event"):
+        if event.name == "request.attempt_failed" and event.fields.get("maybe_sent"):
+            attempts[event.request].append(event)
+    for request in trace.of("request"):
+        if request.result != "not_run" or not request.id:
+            continue
+        verdict.exercised += 1
+        if attempts[request.id]:
+            text = f"{request.key} was refused as not run after it may have been sent"
+            verdict.violate(request.t, text, request, *attempts[request.id])
+
+
 def check_at_most_once(trace):
     verdict = Verdict("a non-idempotent request runs at most once")
     runs = executions(trace)
--- /dev/null
+++ b/scripts/soaklib/logs.py
@@ -0,0 +1,48 @@
+"""The logs of a run's routers: their merged time line, and the lines of single requests."""
+
+import glob
+import json
+import os
+import subprocess
+
+
+def log_files(folder):
+    return sorted(glob.glob(os.path.join(folder, "router-*.jsonl")))
+
+
+def read_events(trace, folder):
+    """Adds the request events of all routers. Returns the number of lines that cannot be read."""
+    unreadable = 0
+    for path in log_files(folder):
+        with open(path, encoding="utf-8", errors="replace") as file:
+            for line in file:
+                try:
+                    item = json.loads(line)
+                except ValueError:
+                    unreadable += 1
+                    continue
+                if "request" in item:
+                    trace.add(
+                        "event", item["hybrid"] / 1000.0, name=item["event"],
+                        process=item["process"], request=item["request"],
+                        fields=item.get("fields", {}),
+                    )
+    return unreadable
+
+
+def write_page(build, folder):
+    """The time line as HTML; returns its path."""
+    page = os.path.join(folder, "timeline.html")
+    ctl = os.path.join(build, "samphirespoolctl")
+    subprocess.run([ctl, "timeline", *log_files(folder), "--html", page], check=True)
+    return page
+
+
+def lines_of(folder, request, most):
+    """Lines of the merged time line that name the request."""
+    found = []
+    for path in log_files(folder):
+        with open(path, encoding="utf-8", errors="replace") as file:
+            found += [line.strip() for line in file if request in line]
+    found.sort(key=lambda line: line[line.find('"hybrid"'):])
+    return found[:most]
--- a/scripts/soaklib/trace.py
+++ b/scripts/soaklib/trace.py
@@ -1,7 +1,8 @@
 """Observations of a run: what clients, stand-ins and operators saw, each with its time in seconds.
 
 Kinds and their members:
-request     sent, t (end), router, life, what (chat, booking, keyless), key, result, rightful
+request     sent, t (end), router, life, what (chat, booking, keyless), key, result, rightful, id (as
+            the router named it; empty if it did not)
             result: whole, wrong, broken, not_run, unknown, refused, unreachable
             rightful: the answer belongs to the request, as the reference engine says
 engine      name, life, service, data_centre, vm, round, started, in_flight, overwhelmed, cold,
@@ -13,6 +14,7 @@
 effect      router, version, in_force: whether the router obeys a change of that version
 fault       name, on, t (begin), end
 shutdown    router, life, t (asked), ended, code
+event       name, process, request, fields: a line of the merged logs; t is the hybrid time
 executions  service, life, counts: runs by idempotency key, as the stand-in counted them
 """
 
--- a/tests/process/test_soak_checks.py
+++ b/tests/process/test_soak_checks.py
@@ -15,7 +15,7 @@
 
 
 def request(trace, t, key="k", result="whole", **more):
-    values = {"sent": t - 1, "router": "r1", "life": 1, "what": "chat", "rightful": True}
+    values = {"sent": t - 1, "router": "r1", "life": 1, "what": "chat", "rightful": True, "id": ""}
     trace.add("request", t, key=key, result=result, **dict(values, **more))
 
 
@@ -111,6 +111,16 @@
     return checks.check_not_run(trace)
 
 
+def refused_after_sending(bad):
+    trace = Trace()
+    request(trace, 5, "c1", "not_run", id="1-2-3")
+    fields = {"maybe_sent": bad}
+    trace.add(
+        "event", 4, name="request.attempt_failed", process="r1", request="1-2-3", fields=fields
+    )
+    return checks.check_not_run(trace)
+
+
 def twice(bad):
     trace = Trace()
     request(trace, 5, "b1", "unknown", what="booking")
@@ -174,8 +184,8 @@
 def main():
     cases = [
         load_skew, fresh_targets, late_cold, data_centre, restarted, vm, wrong_answer,
-        broken_answer, not_run, twice, keyless_twice, shutdown, shutdown_code, reverted,
-        slow_spread, no_effect,
+        broken_answer, not_run, refused_after_sending, twice, keyless_twice, shutdown,
+        shutdown_code, reverted, slow_spread, no_effect,
     ]
     for case in cases:
         good, bad = case(False), case(True)
