Let clang see the attempt of a routed request as constructible

Cause: clang-tidy failed on routed_request.cpp: within the enclosing class it takes a nested class with default member initializers as not default-constructible. Change: the constructor is declared and defaulted outside. Figures: clang-tidy is clean on src/router and apps/router. Conclusion: no change of behaviour.

--- a/src/router/routed_request.cpp
+++ b/src/router/routed_request.cpp
@@ -68,6 +68,8 @@
 
 } // namespace
 
+routed_request::attempt::attempt() = default;
+
 routed_request::routed_request(request_context& context, helpers::request_id id,
                                std::unique_ptr<http::exchange> caller, caller_request wanted,
                                std::function<void()> ended)
--- a/src/router/routed_request.hpp
+++ b/src/router/routed_request.hpp
@@ -35,6 +35,9 @@
     using action_step = void (routed_request::*)(const request::decision&);
 
     struct attempt {
+        // Declared because clang cannot see within this class that the members have defaults.
+        attempt();
+
         admission::grant given;
         helpers::endpoint address;
         helpers::time_point sent_at{};
