--- a/standins/engine/engine.cpp
+++ b/standins/engine/engine.cpp
@@ -59,7 +59,7 @@
       options(options),
       random(options.seed),
       cache(options.cache_blocks),
-      is_cold(options.starts_cold),
+      bears(options.starts_cold ? options.cold_allowance : options.warm_at),
       incarnation(static_cast<std::uint64_t>(loop.time().wall())) {
     this->schedule_load_report();
 }
@@ -99,12 +99,12 @@
         respond_json(*incoming, 500, {{"error", "fault by control"}}, fresh->request_id);
         return;
     }
-    if (this->is_cold && this->batch.size() >= this->options.cold_allowance) {
+    if (this->is_cold() && this->batch.size() >= this->bears) {
         // Overwhelmed: all it was working on is lost.
         ++this->overwhelmed;
         this->cancelled += this->batch.size();
         this->batch.clear();
-        this->answers_while_cold = 0;
+        this->make_cold();
         respond_json(*incoming, 503, {{"error", "overwhelmed while cold"}}, fresh->request_id);
         return;
     }
@@ -194,8 +194,7 @@
     if (each.caller == nullptr)
         return;
     ++this->finished;
-    if (this->is_cold && ++this->answers_while_cold >= this->options.warm_after)
-        this->is_cold = false;
+    this->warm_up();
     if (!each.stream) {
         each.caller->respond(200, answer_headers(each), whole_answer(each));
         each.caller.reset();
@@ -211,6 +210,19 @@
     each.caller.reset();
 }
 
+void engine::make_cold() {
+    this->bears = this->options.cold_allowance;
+    this->answers_since_doubling = 0;
+    this->cache.clear();
+}
+
+void engine::warm_up() {
+    if (!this->is_cold() || ++this->answers_since_doubling < this->options.doubles_after)
+        return;
+    this->bears *= 2;
+    this->answers_since_doubling = 0;
+}
+
 answer_fault engine::take_fault() {
     if (this->fault_count == 0)
         return answer_fault::none;
@@ -225,10 +237,9 @@
         return;
     }
     if (wanted.contains("cold")) {
-        this->is_cold = wanted["cold"].get<bool>();
-        this->answers_while_cold = 0;
-        if (this->is_cold)
-            this->cache.clear();
+        this->bears = this->options.warm_at;
+        if (wanted["cold"].get<bool>())
+            this->make_cold();
     }
     if (wanted.contains("fault")) {
         this->next_fault = fault_named(wanted["fault"].get<std::string>());
@@ -287,7 +298,8 @@
                   {"tokens_out", this->tokens_out},
                   {"prompt_tokens", this->prompt_tokens},
                   {"cached_tokens", this->cached_tokens},
-                  {"cold", this->is_cold}});
+                  {"cold", this->is_cold()},
+                  {"bears", this->bears}});
 }
 
 } // namespace samphirespool::standins
--- a/standins/engine/engine.hpp
+++ b/standins/engine/engine.hpp
@@ -22,9 +22,11 @@
     std::uint64_t full_rate_streams = 32;
     double prefill_tokens_per_second = 20'000;
     std::uint64_t cache_blocks = 65'536;
-    // Concurrent requests that a cold engine bears, and answers after which it is warm.
+    // Concurrent requests that a fresh engine bears. It bears twice as many after each
+    // `doubles_after` answers, and any number from `warm_at` on.
     std::uint64_t cold_allowance = 2;
-    std::uint64_t warm_after = 8;
+    std::uint64_t doubles_after = 4;
+    std::uint64_t warm_at = 64;
     bool starts_cold = true;
     helpers::duration load_lag = std::chrono::milliseconds(500);
     helpers::duration step = std::chrono::milliseconds(20);
@@ -58,6 +60,9 @@
     void advance(generation& each, double tokens);
     void emit(generation& each, std::uint64_t tokens);
     void finish(generation& each);
+    bool is_cold() const { return this->bears < this->options.warm_at; }
+    void make_cold();
+    void warm_up();
     load_report measure() const;
     void schedule_load_report();
 
@@ -66,8 +71,9 @@
     kernel::random_source random;
     prefix_cache cache;
     std::list<std::unique_ptr<generation>> batch;
-    bool is_cold;
-    std::uint64_t answers_while_cold = 0;
+    // What it bears now; no bound from options.warm_at on.
+    std::uint64_t bears;
+    std::uint64_t answers_since_doubling = 0;
     kernel::timer_id step_timer = 0;
     kernel::timer_id load_timer = 0;
     load_report reported;
