--- a/scripts/soaklib/traffic.py
+++ b/scripts/soaklib/traffic.py
@@ -12,6 +12,9 @@
 REQUEST_SECONDS = 40
 RETRIES = 2
 RETRY_PAUSE_SECONDS = 0.3
+# All chats cost the same, so that requests in flight compare the load of engines.
+PROMPT_REPEATS = 25
+ANSWER_TOKENS = 60
 
 
 class Balancer:
@@ -107,13 +110,16 @@
 
     def chat(self, chance):
         time.sleep(chance.uniform(0, 0.2))
-        prompt = f"chat {chance.randrange(60)}: " + "gear manual " * chance.randrange(20, 200)
-        self.ask(chance, "chat", prompt, chance.choice((8, 20, 40, 150)), "guides")
+        prompt = f"chat {chance.randrange(60):3}: " + "gear manual " * PROMPT_REPEATS
+        self.ask(chance, "chat", prompt, ANSWER_TOKENS, "guides")
 
     def surge(self, chance):
         if not self.surging.wait(0.5):
             return
-        self.ask(chance, "chat", f"surge {chance.randrange(1000)}", 20, "surging")
+        self.ask(
+            chance, "chat", f"surge {chance.randrange(1000):3}: " + "gear manual " * PROMPT_REPEATS,
+            ANSWER_TOKENS, "surging",
+        )
 
     def ask(self, chance, what, prompt, tokens, organisation):
         router = self.balancer.pick(chance)
