Let a router that becomes a member take its waiting requests from their sponsor

Cause: a request that came before the region's roster was sent to a sponsor; once the sender was a member, the sponsor took its repeats for a member's own, to which only the owner answers, and the request waited for its whole deadline. Two routers that were both no members also passed a request on to each other without end. Change: only members sponsor, a sponsor in the own region is chosen from the roster, and a new member reserves for itself. Found by scripts/soak, where 10 to 22 requests of a run without faults ended in deadline_exceeded.

--- a/scripts/soaklib/faults.py
+++ b/scripts/soaklib/faults.py
@@ -26,7 +26,7 @@
             self.router_killed, self.router_stopped, self.router_replaced, self.engine_flaps,
             self.engine_turns_cold, self.engine_answers_wrongly, self.data_centre_leaves,
             self.vm_leaves, self.store_down, self.store_slow, self.store_loses_answers,
-            self.operators_race, self.organisation_surges, self.configuration_changes,
+            self.operators_race, self.organisation_surges, self.configuration_changes, self.quiet,
         ]
 
     def run(self, fault):
@@ -184,6 +184,11 @@
         self.traffic.surging.clear()
         return "surging"
 
+    def quiet(self):
+        """No fault, to tell the harm of faults from what happens without any."""
+        self.pause(1, 3)
+        return "nothing"
+
     def configuration_changes(self):
         name = f"probe-{self.chance.randrange(1 << 30)}"
         status, answer = self.operator.add_organisation(name)
--- a/src/ownership/reservation_table.hpp
+++ b/src/ownership/reservation_table.hpp
@@ -36,6 +36,10 @@
         fresh.request.number = ++this->last_number;
         return this->entries.emplace(this->last_number, std::move(fresh)).first->second;
     }
+    // Takes over a reservation under its number from a table of the same router.
+    reservation& adopt(reservation_number number, reservation_table& from) {
+        return this->entries.insert(from.entries.extract(number)).position->second;
+    }
     reservation* find(reservation_number number) {
         const auto found = this->entries.find(number);
         return found == this->entries.end() ? nullptr : &found->second;
--- a/src/ownership/share_manager.hpp
+++ b/src/ownership/share_manager.hpp
@@ -83,6 +83,9 @@
     bool reserves_itself(const shard_state& state) const;
     void ask_sponsor(reservation& wanted);
     void retry_sponsored();
+    void adopt_sponsored();
+    void take_reserve(helpers::router_id from, helpers::incarnation life, const reserve_item& item);
+    bool is_former_grant(const grant_item& item);
     void end_expired();
     void take_lease_items(const share_message& received);
     void take_reservation_items(const share_message& received);
--- a/src/ownership/share_manager_messages.cpp
+++ b/src/ownership/share_manager_messages.cpp
@@ -1,6 +1,8 @@
 // The way of messages and reservations through a share manager.
 #include "ownership/share_manager.hpp"
 
+#include <vector>
+
 namespace samphirespool::ownership {
 
 void share_manager::on_message(const share_message& received) {
@@ -67,18 +69,12 @@
 
 void share_manager::take_reservation_items(const share_message& received) {
     const auto from = received.sender;
-    for (const auto& item : received.reserves) {
-        auto* state = this->own_shard(item.shard);
-        if (state == nullptr)
-            continue;
-        if (item.sponsored && this->roster.find(from) == nullptr)
-            this->sponsor.on_reserve(from, item, this->loop.time().now());
-        else
-            state->owner->on_reserve(from, received.life, item);
-    }
+    for (const auto& item : received.reserves)
+        this->take_reserve(from, received.life, item);
     for (const auto& item : received.grants) {
         auto* state = this->own_shard(item.shard);
-        if (this->sponsored.find(item.number) != nullptr || state == nullptr)
+        if (this->sponsored.find(item.number) != nullptr || state == nullptr ||
+            this->is_former_grant(item))
             this->take_sponsored_grant(from, item);
         else
             state->follower->on_grant(from, received.life, item);
@@ -101,6 +97,24 @@
     }
 }
 
+// Only members sponsor: two routers that are none would pass a request on to each other for ever.
+void share_manager::take_reserve(helpers::router_id from, helpers::incarnation life,
+                                 const reserve_item& item) {
+    auto* state = this->own_shard(item.shard);
+    if (state == nullptr)
+        return;
+    if (!item.sponsored || this->roster.find(from) != nullptr)
+        state->owner->on_reserve(from, life, item);
+    else if (this->reserves_itself(*state))
+        this->sponsor.on_reserve(from, item, this->loop.time().now());
+}
+
+// Whether a sponsor gave the grant for a request that this router has taken into its own hands.
+bool share_manager::is_former_grant(const grant_item& item) {
+    const auto* own = this->reservations.find(item.number);
+    return own != nullptr && item.sponsored && !own->request.sponsored;
+}
+
 bool share_manager::reserves_itself(const shard_state& state) const {
     return state.follower && this->roster.find(this->view.self().id) != nullptr;
 }
@@ -128,6 +142,8 @@
             record.state != membership::member_state::ready || id == this->view.self().id ||
             helpers::id_of<helpers::region_id>(record.region) != region)
             continue;
+        if (region == this->own_region && this->roster.find(id) == nullptr)
+            continue;
         if (!best || owner_score(salt, id) > owner_score(salt, *best))
             best = id;
     }
@@ -156,7 +172,30 @@
     this->to(*member).reserves.push_back(std::move(item));
 }
 
+// A router that has become a member reserves for itself what waits at a sponsor. The sponsor would
+// take a repeat for the request of a member to the owner.
+void share_manager::adopt_sponsored() {
+    std::vector<reservation_number> adopted;
+    for (const auto& [number, wanted] : this->sponsored.all()) {
+        const auto* state = this->own_shard(wanted.request.shard);
+        if (!wanted.granted && state != nullptr && this->reserves_itself(*state))
+            adopted.push_back(number);
+    }
+    for (const auto number : adopted) {
+        auto& wanted = this->reservations.adopt(number, this->sponsored);
+        wanted.request.sponsored = false;
+        wanted.queued = false;
+        const auto member = this->sponsors.extract(number);
+        if (!member.empty())
+            this->to(member.mapped())
+                .finishes.push_back(
+                    {wanted.request.shard, number, admission::release::result::not_sent, {}, true});
+        this->own_shard(wanted.request.shard)->follower->ask(wanted);
+    }
+}
+
 void share_manager::retry_sponsored() {
+    this->adopt_sponsored();
     const auto now = this->loop.time().now();
     for (auto& [number, wanted] : this->sponsored.all()) {
         const auto pause = wanted.queued ? this->timing.queued_retry : this->timing.reserve_retry;
