Close the holes in the share leases that random schedules found

Change: a new division encumbers shares at owners too; it is confirmed only once every grant in use is known in two domains; a lender of the domain whose knowledge may be lost is not clean at once; a registration from before a release is void; a leaving witness is replaced; a router hands over its records as a witness before it leaves.

--- a/src/membership/roster_manager.cpp
+++ b/src/membership/roster_manager.cpp
@@ -147,7 +147,7 @@
     return std::all_of(
         this->known.previous.begin(), this->known.previous.end(), [&](const auto& entry) {
             if (entry.id == this->view.self().id)
-                return true;
+                return this->may_confirm();
             const auto* other = this->view.find(entry.id);
             if (other == nullptr)
                 return false;
@@ -193,6 +193,8 @@
         return;
     if (pushed->version > this->known.version)
         this->adopt(std::move(*pushed));
+    if (!this->known.settled && !this->may_confirm())
+        return;
     message answer;
     answer.type = message_type::roster_ack;
     answer.sender = this->view.self().id;
--- a/src/membership/roster_manager.hpp
+++ b/src/membership/roster_manager.hpp
@@ -60,6 +60,8 @@
     const roster& current() const { return this->known; }
     // Runs after current() changed, before the new version is confirmed to anyone.
     void on_change(std::function<void()> listener) { this->listener = std::move(listener); }
+    // Asked before this router confirms an unsettled version.
+    void confirm_when(std::function<bool()> condition) { this->may_confirm = std::move(condition); }
     bool is_writer() const;
 
 private:
@@ -75,6 +77,7 @@
     message_outbox& outbox;
     roster_timing timing;
     std::function<void()> listener;
+    std::function<bool()> may_confirm = [] { return true; };
     // Invariant: the version never decreases.
     roster known;
     // Version of the object in the store when it last held `known`.
--- a/src/ownership/lender_set.cpp
+++ b/src/ownership/lender_set.cpp
@@ -7,7 +7,7 @@
 
 using membership::member_health;
 
-void lender_set::set_roster(const membership::roster& fresh) {
+void lender_set::set_roster(const membership::roster& fresh, helpers::time_point now) {
     this->roster = fresh;
     const auto& members = this->roster.members;
     this->several_data_centres =
@@ -16,8 +16,11 @@
         });
     if (!fresh.settled)
         return;
-    for (auto& [id, entry] : this->lenders)
+    this->settled_at = now;
+    for (auto& [id, entry] : this->lenders) {
         entry.clean = false;
+        entry.encumbered_until = std::max(entry.encumbered_until, now + this->timing.longest_grant);
+    }
 }
 
 helpers::time_point lender_set::lease_end(const promise_item& promise) const {
@@ -30,14 +33,17 @@
         return nullptr;
     const auto found = this->lenders.find(from);
     const auto known = found != this->lenders.end() && found->second.life == life;
-    if (known && promise.time <= found->second.registered_at)
+    const auto released = this->released_at.find(from);
+    if ((known && promise.time <= found->second.registered_at) ||
+        (released != this->released_at.end() && promise.time <= released->second))
         return nullptr;
     lender fresh;
     fresh.life = life;
     fresh.lease_until = this->lease_end(promise);
     fresh.registered_at = promise.time;
     fresh.remembers = promise.remembers;
-    fresh.encumbered_until = now + promise.encumbered;
+    fresh.encumbered_until =
+        std::max(now + promise.encumbered, this->settled_at + this->timing.longest_grant);
     fresh.clean = known && promise.continuous && found->second.clean;
     return &this->lenders.insert_or_assign(from, fresh).first->second;
 }
@@ -81,12 +87,11 @@
 
 lender_set::missing_members lender_set::find_missing(helpers::time_point now) const {
     missing_members result;
-    std::optional<std::string> domain;
     const auto lose_knowledge_of = [&](helpers::router_id id) {
         const auto its = this->domain_of(id);
-        if (!domain)
-            domain = its;
-        result.knowledge_in_one_domain = result.knowledge_in_one_domain && *domain == its;
+        if (result.domain.empty())
+            result.domain = its;
+        result.knowledge_in_one_domain = result.knowledge_in_one_domain && result.domain == its;
     };
     const auto consider = [&](helpers::router_id id) {
         const auto* known = this->find(id);
@@ -119,11 +124,11 @@
     if (this->roster.version == 0)
         return result;
     const auto missing = this->find_missing(now);
-    const auto knows_all = !missing.any_silent || missing.knowledge_in_one_domain;
     for (const auto& entry : this->roster.members) {
         auto* known = this->find(entry.id);
         if (known != nullptr && known->lends(now)) {
-            known->clean = known->clean || knows_all || known->encumbered_until <= now;
+            known->clean = known->clean || missing.knows_uses_of(this->domain_of(entry.id)) ||
+                           known->encumbered_until <= now;
             if (known->clean)
                 result.push_back(entry.id);
             continue;
@@ -144,12 +149,18 @@
     return sum;
 }
 
+bool lender_set::may_witness(helpers::router_id id, helpers::time_point now) const {
+    const auto* known = this->view.find(id);
+    return this->lends(id, now) && known != nullptr &&
+           known->record.state != membership::member_state::leaving;
+}
+
 std::optional<helpers::router_id> lender_set::choose_witness(shard_id shard,
                                                              helpers::router_id requester,
                                                              helpers::time_point now) const {
     std::optional<helpers::router_id> best;
     for (const auto& [id, entry] : this->lenders) {
-        if (!entry.lends(now) || this->same_domain(id, requester))
+        if (!this->may_witness(id, now) || this->same_domain(id, requester))
             continue;
         if (!best || owner_score(shard, id) > owner_score(shard, *best))
             best = id;
--- a/src/ownership/lender_set.hpp
+++ b/src/ownership/lender_set.hpp
@@ -42,13 +42,18 @@
         : view(view), timing(timing) {}
 
     // A new settled version shifts shares between members, so nothing is clean any more.
-    void set_roster(const membership::roster& fresh);
+    void set_roster(const membership::roster& fresh, helpers::time_point now);
     // Takes a registration. Returns nothing if the promise is too old or names no member.
     lender* take_registration(helpers::router_id from, helpers::incarnation life,
                               const promise_item& promise, helpers::time_point now);
     // Extends the lease. Returns nothing unless the lender is registered.
     lender* renew(helpers::router_id from, helpers::incarnation life, const promise_item& promise,
                   helpers::time_point now);
+    // The router takes its shares back: no promise from before counts any more.
+    void release(helpers::router_id id, helpers::time_point now) {
+        this->lenders.erase(id);
+        this->released_at[id] = now;
+    }
     void remove(helpers::router_id id) { this->lenders.erase(id); }
     void clear() { this->lenders.clear(); }
 
@@ -72,6 +77,8 @@
     bool same_domain(helpers::router_id a, helpers::router_id b) const {
         return this->domain_of(a) == this->domain_of(b);
     }
+    // Whether the router lends and is not about to leave.
+    bool may_witness(helpers::router_id id, helpers::time_point now) const;
     // A lender outside the domain that keeps a grant's record, if there is one.
     std::optional<helpers::router_id> choose_witness(shard_id shard, helpers::router_id requester,
                                                      helpers::time_point now) const;
@@ -80,6 +87,15 @@
     struct missing_members {
         bool any_silent = false;
         bool knowledge_in_one_domain = true;
+        // The domain whose knowledge may be lost; empty: none, or more than one.
+        std::string domain;
+
+        // Whether the owner knows every grant that may use the shares of a lender of the domain.
+        // An owner cut off with its domain may grant its own domain's shares without a witness.
+        bool knows_uses_of(const std::string& lender_domain) const {
+            return !this->any_silent ||
+                   (this->knowledge_in_one_domain && this->domain != lender_domain);
+        }
     };
 
     missing_members find_missing(helpers::time_point now) const;
@@ -90,6 +106,9 @@
     const share_timing& timing;
     membership::roster roster;
     bool several_data_centres = false;
+    // When the present division of shares came into force here.
+    helpers::time_point settled_at{};
+    std::map<helpers::router_id, helpers::time_point> released_at;
     std::map<helpers::router_id, lender> lenders;
 };
 
--- a/src/ownership/share_follower.cpp
+++ b/src/ownership/share_follower.cpp
@@ -16,14 +16,13 @@
 
 share_follower::share_follower(const kernel::clock& time, const membership::membership_view& view,
                                share_mailbox& mailbox, const share_timing& timing,
-                               reservation_table& reservations, const record_book& book,
-                               shard_id shard)
+                               reservation_table& reservations, books kept, shard_id shard)
     : time(time),
       view(view),
       mailbox(mailbox),
       timing(timing),
       reservations(reservations),
-      book(book),
+      kept(kept),
       shard(shard),
       started(time.now()),
       desired_since(time.now()),
@@ -124,6 +123,7 @@
         this->register_with(item);
         return;
     }
+    owner.confirmed = item.time > owner.registered_at;
     this->mailbox.to(from).promises.push_back(this->make_promise(item, false));
 }
 
@@ -140,6 +140,7 @@
     this->last_id = owner.id;
     this->last_life = owner.life;
     owner.registered = true;
+    owner.confirmed = false;
     owner.registered_at = item.time;
     this->mailbox.to(owner.id).promises.push_back(std::move(promise));
     for (auto& [number, wanted] : this->reservations.all()) {
@@ -171,8 +172,10 @@
                                        std::max(helpers::duration::zero(), own.deadline - now),
                                        own.request.sponsored});
     }
-    if (registers)
-        this->book.append_to(promise.records, this->shard, now);
+    if (registers) {
+        this->kept.granted.append_to(promise.records, this->shard, now);
+        this->kept.witnessed.append_to(promise.records, this->shard, now);
+    }
     return promise;
 }
 
--- a/src/ownership/share_follower.hpp
+++ b/src/ownership/share_follower.hpp
@@ -15,9 +15,14 @@
 
 class share_follower {
 public:
+    struct books {
+        const record_book& granted;
+        const record_book& witnessed;
+    };
+
     share_follower(const kernel::clock& time, const membership::membership_view& view,
                    share_mailbox& mailbox, const share_timing& timing,
-                   reservation_table& reservations, const record_book& book, shard_id shard);
+                   reservation_table& reservations, books kept, shard_id shard);
 
     // A settled roster moved shares between members: what this router now holds may be in use.
     void set_roster(const membership::roster& fresh);
@@ -40,6 +45,11 @@
     void finish(const finish_item& ended);
 
     std::optional<helpers::router_id> owner() const;
+    // Whether the owner is known to have the registration.
+    bool confirmed() const {
+        return this->registered() && this->now_following->confirmed &&
+               this->now_following->promised_until > this->time.now();
+    }
     bool registered() const { return this->now_following && this->now_following->registered; }
 
 private:
@@ -48,6 +58,8 @@
         // Zero until the owner was heard of.
         helpers::incarnation life;
         bool registered = false;
+        // The owner renewed a lease after the registration.
+        bool confirmed = false;
         bool leaving = false;
         // Time of the challenge that the registration answered.
         helpers::time_point registered_at;
@@ -71,7 +83,7 @@
     share_mailbox& mailbox;
     const share_timing& timing;
     reservation_table& reservations;
-    const record_book& book;
+    books kept;
     shard_id shard;
     membership::roster roster;
     helpers::time_point started;
--- a/src/ownership/share_manager.cpp
+++ b/src/ownership/share_manager.cpp
@@ -90,8 +90,9 @@
     state.targets = std::move(fresh.targets);
     if (state.region == this->own_region && !state.follower) {
         const auto& time = this->loop.time();
-        state.follower = std::make_unique<share_follower>(time, this->view, *this, this->timing,
-                                                          this->reservations, this->book, id);
+        state.follower = std::make_unique<share_follower>(
+            time, this->view, *this, this->timing, this->reservations,
+            share_follower::books{this->granted, this->witnessed}, id);
         state.owner = std::make_unique<share_owner>(time, this->view, *this, this->timing, id);
         state.follower->set_roster(this->roster);
         state.owner->set_roster(this->roster);
@@ -157,7 +158,7 @@
     }
     const auto now = this->loop.time().now();
     for (const auto& record : state.owner->close())
-        this->book.add(id, record, now);
+        this->granted.add(id, record, now);
 }
 
 void share_manager::tick() {
@@ -173,7 +174,8 @@
     this->share_loads();
     this->retry_sponsored();
     this->end_expired();
-    this->book.forget_ended(now);
+    this->granted.forget_ended(now);
+    this->witnessed.forget_ended(now);
 }
 
 void share_manager::update_shard(shard_id id, shard_state& state) {
@@ -237,6 +239,20 @@
     }
 }
 
+bool share_manager::ready_for_roster() const {
+    return std::none_of(this->states.begin(), this->states.end(), [&](const auto& item) {
+        const auto& state = item.second;
+        if (!state.follower)
+            return false;
+        const auto uses =
+            std::any_of(this->reservations.all().begin(), this->reservations.all().end(),
+                        [&](const auto& held) {
+                            return held.second.granted && held.second.request.shard == item.first;
+                        });
+        return state.owner->has_unwitnessed() || (uses && !state.follower->confirmed());
+    });
+}
+
 std::vector<helpers::target_id> share_manager::owned_targets() const {
     std::vector<helpers::target_id> owned;
     for (const auto& [id, state] : this->states) {
@@ -249,9 +265,10 @@
 }
 
 bool share_manager::handed_over() const {
-    return std::none_of(this->states.begin(), this->states.end(), [](const auto& item) {
-        return item.second.owner && item.second.owner->open_now();
-    });
+    return this->witnessed.size() == 0 &&
+           std::none_of(this->states.begin(), this->states.end(), [](const auto& item) {
+               return item.second.owner && item.second.owner->open_now();
+           });
 }
 
 const share_owner* share_manager::owner_of(shard_id shard) const {
--- a/src/ownership/share_manager.hpp
+++ b/src/ownership/share_manager.hpp
@@ -47,14 +47,18 @@
     void finish(reservation_number number, admission::release::result how,
                 helpers::duration first_byte) override;
 
+    // Whether a new division of shares may come into force as far as this router goes: every grant
+    // in use must be known to routers of two domains, or the new holder of a share could miss it.
+    bool ready_for_roster() const;
+
     // Targets whose shard this router owns now; it should read their load reports.
     std::vector<helpers::target_id> owned_targets() const;
-    // Whether any other router still counts on this one as an owner.
+    // Whether no other router counts on this one any more, as an owner or as a witness.
     bool handed_over() const;
     const share_owner* owner_of(shard_id shard) const;
     std::optional<helpers::router_id> followed(shard_id shard) const;
     std::size_t outstanding() const;
-    std::size_t records_kept() const { return this->book.size(); }
+    std::size_t records_kept() const { return this->granted.size() + this->witnessed.size(); }
     std::vector<shard_id> shards() const;
 
     share_message& to(helpers::router_id receiver) override;
@@ -102,7 +106,9 @@
     reservation_table sponsored;
     // The member that each sponsored reservation was asked of, or got its grant from.
     std::map<reservation_number, helpers::router_id> sponsors;
-    record_book book;
+    // What this router granted to others before it gave a shard up, and what it witnesses.
+    record_book granted;
+    record_book witnessed;
     share_sponsor sponsor;
     std::map<shard_id, shard_state> states;
     std::unordered_map<helpers::target_id, shard_id> shard_by_target;
--- a/src/ownership/share_manager_messages.cpp
+++ b/src/ownership/share_manager_messages.cpp
@@ -52,7 +52,7 @@
         const auto accepted =
             state != nullptr && state->follower->follows(received.sender, received.life);
         if (accepted)
-            this->book.add(item.shard, item.record, now);
+            this->witnessed.add(item.shard, item.record, now);
         this->to(received.sender)
             .witness_answers.push_back(
                 {item.shard, item.record.requester, item.record.number, accepted});
@@ -62,7 +62,7 @@
             state->owner->on_witness_answer(received.sender, item);
     }
     for (const auto& item : received.witness_drops)
-        this->book.drop(item.shard, item.requester, item.number);
+        this->witnessed.drop(item.shard, item.requester, item.number);
 }
 
 void share_manager::take_reservation_items(const share_message& received) {
@@ -97,7 +97,7 @@
         else if (state != nullptr && state->owner->open_now())
             state->owner->on_finish(from, item);
         else
-            this->book.drop(item.shard, from, item.number);
+            this->granted.drop(item.shard, from, item.number);
     }
 }
 
--- a/src/ownership/share_owner.cpp
+++ b/src/ownership/share_owner.cpp
@@ -34,7 +34,7 @@
 }
 
 void share_owner::set_roster(const membership::roster& fresh) {
-    this->lenders.set_roster(fresh);
+    this->lenders.set_roster(fresh, this->time.now());
     this->limits_stale = true;
 }
 
@@ -102,7 +102,7 @@
 }
 
 void share_owner::on_unfollow(helpers::router_id from) {
-    this->lenders.remove(from);
+    this->lenders.release(from, this->time.now());
     this->refresh();
     this->mailbox.to(from).released.push_back({this->shard, this->time.now()});
 }
--- a/src/ownership/share_owner.hpp
+++ b/src/ownership/share_owner.hpp
@@ -50,6 +50,8 @@
     const admission::target_ledger& targets() const { return this->ledger; }
     const owner_counters& counters() const { return this->counted; }
     bool complete() const { return this->lenders.complete(this->time.now()); }
+    // Whether a grant that is in use is known to routers of one domain only.
+    bool has_unwitnessed() const;
     std::size_t waiting() const { return this->waiting_count; }
     // Slots that may be in use on the target now.
     std::uint32_t slots(helpers::target_id target);
@@ -63,6 +65,7 @@
         helpers::router_id witness;
         // Set while the witness has not answered; the grant is not handed over before.
         bool pending = false;
+        bool witnessed = false;
         helpers::time_point asked_at;
         bool may_wait = true;
         std::vector<helpers::target_id> candidates;
--- a/src/ownership/share_owner_grants.cpp
+++ b/src/ownership/share_owner_grants.cpp
@@ -74,6 +74,7 @@
 void share_owner::ask_witness(grant_record& record, helpers::router_id witness) {
     const auto now = this->time.now();
     record.witness = witness;
+    record.witnessed = false;
     record.asked_at = now;
     auto content = record.content;
     content.remaining = record.ends - now;
@@ -96,7 +97,10 @@
     if (!this->is_open || of_router == this->records.end())
         return;
     const auto found = of_router->second.find(item.number);
-    if (found == of_router->second.end() || found->second.witness != from || !found->second.pending)
+    if (found == of_router->second.end() || found->second.witness != from)
+        return;
+    found->second.witnessed = item.accepted;
+    if (!found->second.pending)
         return;
     if (item.accepted && this->lenders.lends(item.requester, this->time.now()))
         this->hand_over(found->second);
@@ -220,6 +224,19 @@
         this->end_record(router, number, admission::release::result::cancelled, {});
 }
 
+bool share_owner::has_unwitnessed() const {
+    for (const auto& [router, of_router] : this->records) {
+        if (!this->lenders.same_domain(router, this->view.self().id))
+            continue;
+        const auto alone = [](const auto& item) {
+            return !item.second.pending && !item.second.witnessed;
+        };
+        if (std::any_of(of_router.begin(), of_router.end(), alone))
+            return true;
+    }
+    return false;
+}
+
 // Takes back what a witness does not answer, and finds another for what a lost one knew.
 void share_owner::check_witnesses() {
     const auto now = this->time.now();
@@ -229,11 +246,16 @@
             if (record.pending && now - record.asked_at >= this->timing.witness_retry)
                 unanswered.emplace_back(router, number);
             if (record.pending || !this->lenders.same_domain(router, this->view.self().id) ||
-                this->lenders.lends(record.witness, now))
+                (this->lenders.may_witness(record.witness, now) &&
+                 (record.witnessed || now - record.asked_at < this->timing.witness_retry)))
                 continue;
             const auto other = this->lenders.choose_witness(this->shard, router, now);
-            if (other)
-                this->ask_witness(record, *other);
+            if (!other)
+                continue;
+            if (record.witness.value != 0)
+                this->mailbox.to(record.witness)
+                    .witness_drops.push_back({this->shard, router, number});
+            this->ask_witness(record, *other);
         }
     }
     for (const auto& [router, number] : unanswered)
--- a/tests/ownership/fake_region.hpp
+++ b/tests/ownership/fake_region.hpp
@@ -65,6 +65,7 @@
     // Routers with the same number share a data centre; empty: all in one.
     std::vector<int> data_centres;
     std::size_t targets = 1;
+    ownership::share_timing timing{};
 };
 
 class fake_region {
@@ -75,8 +76,8 @@
               index(index),
               loop(region.loop),
               view(region.loop.time(), region.make_record(index, life)),
-              manager(this->loop, this->view, *this),
-              reservations(this->loop, this->manager) {}
+              manager(this->loop, this->view, *this, region.shape.timing),
+              reservations(this->loop, this->manager, region.shape.timing) {}
         void send(const helpers::endpoint& to, const ownership::share_message& content) override {
             this->region.deliver(this->index, static_cast<std::size_t>(to.port), content);
         }
@@ -195,16 +196,36 @@
         wanted.request = {id(at), helpers::incarnation{this->lives[at]}, ++by.next_request};
         wanted.candidates = this->targets;
         wanted.deadline = this->loop.time().now() + deadline;
-        by.reservations.reserve(wanted, [this, &by](const admission::reservation_answer& answer) {
-            if (answer.granted)
-                by.in_use[answer.given.target].push_back(answer.given.id);
-            else
-                ++by.refused;
-            this->check();
+        by.reservations.reserve(wanted,
+                                [this, &by, wanted](const admission::reservation_answer& answer) {
+                                    if (answer.granted)
+                                        this->use(by, answer.given, wanted.deadline);
+                                    else
+                                        ++by.refused;
+                                    this->check();
+                                });
+    }
+    // A target ends a request at its deadline even if the router sleeps.
+    void use(router& by, const admission::grant& given, helpers::time_point deadline) {
+        ++this->granted;
+        by.in_use[given.target].push_back(given.id);
+        const auto left = deadline - this->loop.time().now();
+        this->loop.schedule(left, [this, given, index = by.index, life = this->lives[by.index]] {
+            const auto found = this->routers.find(index);
+            if (found == this->routers.end() || this->lives[index] != life)
+                return;
+            auto& holder = *found->second;
+            if (std::erase(holder.in_use[given.target], given.id) == 0)
+                return;
+            holder.loop.post([&holder, given] {
+                holder.reservations.finish({given.id, admission::release::result::cancelled, {}});
+            });
         });
     }
     void finish_one(std::size_t at,
                     admission::release::result how = admission::release::result::success) {
+        if (!this->routers.contains(at) || this->asleep.contains(at))
+            return;
         for (auto& [target, grants] : this->at(at).in_use) {
             if (grants.empty())
                 continue;
@@ -265,16 +286,22 @@
     std::function<bool(std::size_t, std::size_t)> connected = [](auto, auto) { return true; };
     std::size_t violations = 0;
     std::size_t most = 0;
+    std::size_t granted = 0;
     std::uint64_t messages = 0;
 
 private:
+    std::map<std::pair<std::size_t, std::size_t>, helpers::time_point> last_arrival;
+
     void deliver(std::size_t from, std::size_t to, const ownership::share_message& content) {
         ++this->messages;
         if (this->random.fraction() < this->loss || !this->connected(from, to))
             return;
         const auto span = static_cast<std::uint64_t>(this->longest_delay.count());
         const helpers::duration delay(static_cast<std::int64_t>(1 + this->random.below(span)));
-        this->loop.schedule(delay, [this, to, content] {
+        // In order for each pair, as the transport delivers.
+        auto& arrival = this->last_arrival[{from, to}];
+        arrival = std::max(arrival, this->loop.time().now() + delay);
+        this->loop.schedule(arrival - this->loop.time().now(), [this, to, content] {
             const auto found = this->routers.find(to);
             if (found == this->routers.end())
                 return;
--- a/tests/ownership/test_share_leases.cpp
+++ b/tests/ownership/test_share_leases.cpp
@@ -257,6 +257,66 @@
     CHECK(region.violations == 0);
 }
 
+// Found by a random schedule: shares that a new roster gave to another member may be in use.
+TEST_CASE("a share that moved with the roster is not used before its old uses can have ended") {
+    fake_region region({2, 2});
+    auto both = region.roster;
+    region.roster.members = {region.make_entry(0, 1)};
+    region.set_roster(region.roster);
+    region.run(2s);
+    region.request(0, 10min);
+    region.request(0, 10min);
+    region.run(100ms);
+    REQUIRE(region.in_use(0) == 2);
+    auto change = both;
+    change.version = 2;
+    change.settled = false;
+    change.previous = region.roster.members;
+    region.connected = [](auto, auto) { return false; };
+    region.set_roster(change);
+    region.run(2s);
+    // Only this router knows of its grants: the new division must wait.
+    CHECK_FALSE(region.at(0).manager.ready_for_roster());
+    region.connected = [](auto, auto) { return true; };
+    region.run(1s);
+    CHECK(region.at(0).manager.ready_for_roster());
+    region.connected = [](auto, auto) { return false; };
+    both.version = 3;
+    region.set_roster(both);
+    region.judge(0, 1, member_health::dead);
+    region.judge(1, 0, member_health::dead);
+    region.request(1, 20min);
+    region.run(5min);
+    CHECK(region.in_use(1) == 0);
+    // The two requests end at their deadline.
+    region.run(7min);
+    CHECK(region.in_use(1) == 1);
+    CHECK(region.violations == 0);
+}
+
+TEST_CASE("a leaving witness is replaced before it goes") {
+    fake_region region({4, 8, {0, 0, 1, 1}});
+    region.run(1s);
+    const auto owner = region.owner();
+    region.request(owner);
+    region.run(100ms);
+    std::size_t witness = 4;
+    for (std::size_t i = 0; i < 4; ++i) {
+        if (region.at(i).manager.records_kept() > 0)
+            witness = i;
+    }
+    REQUIRE(witness < 4);
+    REQUIRE(region.data_centre(witness) != region.data_centre(owner));
+    region.at(witness).view.change_self(membership::member_state::leaving, member_health::alive);
+    CHECK_FALSE(region.at(witness).manager.handed_over());
+    for (auto& [index, running] : region.routers)
+        running->view.merge(region.at(witness).view.self());
+    region.run(1s);
+    CHECK(region.at(witness).manager.handed_over());
+    const auto other = witness ^ 1;
+    CHECK(region.at(other).manager.records_kept() == 1);
+}
+
 TEST_CASE("owners of the region's shards are spread over the routers") {
     std::map<helpers::router_id, int> owned;
     for (std::uint32_t index = 0; index < 800; ++index) {
