--- /dev/null
+++ b/scripts/soaklib/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of scripts/soak: traffic, faults, operators, and checks of what was observed."""
--- a/src/router/caller_front.hpp
+++ b/src/router/caller_front.hpp
@@ -14,7 +14,7 @@
 class caller_front {
 public:
     caller_front(http::event_loop& loop, const settings::router_settings& settings,
-                 request_context context);
+                 const request_context& context);
     ~caller_front();
     caller_front(const caller_front&) = delete;
     caller_front& operator=(const caller_front&) = delete;
@@ -23,6 +23,7 @@
     bool listen(kernel::error& reason);
     std::uint16_t port() const { return this->server->port(); }
     request_handler& handler() { return this->requests; }
+    const request_handler& handler() const { return this->requests; }
 
     // Reads the TLS keys again; the old ones stay if the new ones are faulty.
     void reload_keys();
--- a/src/router/request_context.hpp
+++ b/src/router/request_context.hpp
@@ -6,19 +6,16 @@
 #include "http/client.hpp"
 #include "kernel/event.hpp"
 #include "kernel/loop.hpp"
+#include "request/retry_budget.hpp"
 #include "router/fleet_view.hpp"
+#include "router/identity.hpp"
+#include "router/target_health.hpp"
+#include "router/turn_queue.hpp"
 
 #include <cstdint>
 
 namespace samphirespool::router {
 
-struct router_identity {
-    helpers::router_id id;
-    helpers::incarnation life;
-    helpers::data_centre_id data_centre;
-    helpers::region_id region;
-};
-
 struct request_limits {
     helpers::duration max_deadline = std::chrono::minutes(10);
     std::size_t max_live_requests = 10'000;
@@ -42,6 +39,9 @@
     fleet_view& fleet;
     admission::reservation_service& reservations;
     claims::claim_service& claims;
+    turn_queue& turns;
+    target_health& health;
+    request::retry_budget& retries;
     http::client& targets;
     kernel::event_sink& events;
     router_identity self;
--- a/src/router/request_handler.hpp
+++ b/src/router/request_handler.hpp
@@ -13,7 +13,7 @@
 
 class request_handler {
 public:
-    explicit request_handler(request_context context) : context(std::move(context)) {}
+    explicit request_handler(const request_context& context) : context(context) {}
     request_handler(const request_handler&) = delete;
     request_handler& operator=(const request_handler&) = delete;
 
@@ -21,6 +21,7 @@
 
     // The health check fails while not ready, for instance without peers and store.
     void set_ready(bool value) { this->ready = value; }
+    bool is_ready() const { return this->ready && !this->leaving; }
 
     // From now on the health check fails and new requests are refused; those in progress go on.
     void leave() { this->leaving = true; }
