--- /dev/null
+++ b/src/claims/claim_manager.cpp
@@ -0,0 +1,251 @@
+// Routing to owners, resending, deadlines, and the journals' actions.
+#include "claims/claim_manager.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace samphirespool::claims {
+
+std::uint32_t shard_of(const claim_key& key) {
+    return static_cast<std::uint32_t>(key.high % shard_count);
+}
+
+claim_manager::claim_manager(kernel::loop& loop, const config::peer_directory& directory,
+                             claim_network& network, journal_objects& objects,
+                             const claim_settings& settings)
+    : loop(loop),
+      directory(directory),
+      network(network),
+      objects(objects),
+      settings(settings),
+      alive(std::make_shared<bool>(true)) {
+    network.receive_calls(
+        [this](const auto& from, const auto& call) { this->submit(call, &from); });
+    network.receive_answers(
+        [this](const auto& answer) { this->finish(answer.request, answer.verdict); });
+}
+
+claim_manager::~claim_manager() {
+    this->network.receive_calls({});
+    this->network.receive_answers({});
+    for (const auto& [request, each] : this->pending) {
+        this->loop.cancel(each.deadline_timer);
+        this->loop.cancel(each.resend_timer);
+    }
+    for (const auto& [shard, each] : this->journals)
+        this->loop.cancel(each->timer);
+}
+
+claim_call claim_manager::call_for(claim_action action, const claim_request& request) const {
+    claim_call result;
+    result.action = action;
+    result.request = request.request;
+    result.key = key_of(request.organisation, request.key);
+    result.shard = shard_of(result.key);
+    result.key_date = date_of(request.key).value_or(0);
+    result.fingerprint = request.fingerprint;
+    result.remaining = request.deadline - this->loop.time().now();
+    return result;
+}
+
+// Rendezvous over the live routers. Nothing if this router is the owner.
+std::optional<helpers::endpoint> claim_manager::owner_of(std::uint32_t shard) const {
+    const auto rank = [shard](const config::peer_router& router) {
+        return helpers::hash_name("claims/" + std::to_string(shard) + "/" + router.name);
+    };
+    const auto& peers = this->directory.peers();
+    const auto best =
+        std::min_element(peers.begin(), peers.end(),
+                         [&rank](const auto& a, const auto& b) { return rank(a) < rank(b); });
+    if (best == peers.end() || rank(this->directory.self()) < rank(*best))
+        return std::nullopt;
+    return best->address;
+}
+
+void claim_manager::claim(claim_request request, std::function<void(claim_answer)> done) {
+    const auto now = this->loop.time().now();
+    pending_claim added;
+    added.call = this->call_for(claim_action::claim, request);
+    added.done = std::move(done);
+    added.asked = now;
+    added.deadline = request.deadline;
+    const auto id = request.request;
+    const auto wait = std::max(request.deadline - now, helpers::duration::zero());
+    added.deadline_timer = this->loop.schedule(wait, [this, id] { this->give_up(id); });
+    this->route(this->pending.insert_or_assign(id, std::move(added)).first->second);
+}
+
+// Asks the owner until it answers; the same request may be asked for at any number of owners.
+void claim_manager::route(pending_claim& pending) {
+    auto& call = pending.call;
+    call.remaining = pending.deadline - this->loop.time().now();
+    const auto owner = this->owner_of(call.shard);
+    const auto id = call.request;
+    pending.resend_timer = this->loop.schedule(this->settings.resend_interval, [this, id] {
+        const auto found = this->pending.find(id);
+        if (found != this->pending.end())
+            this->route(found->second);
+    });
+    if (owner && pending.unanswered < this->settings.max_remote_attempts) {
+        ++pending.unanswered;
+        this->network.send(*owner, call);
+        return;
+    }
+    if (std::exchange(pending.is_submitted_here, true))
+        return;
+    this->submit(claim_call(call), nullptr);
+}
+
+// Nothing is sent for the request after this, so a claim that is still on its way is given back.
+void claim_manager::give_up(const helpers::request_id& request) {
+    const auto found = this->pending.find(request);
+    if (found == this->pending.end())
+        return;
+    auto call = found->second.call;
+    const auto is_submitted_here = found->second.is_submitted_here;
+    call.action = claim_action::release;
+    this->end(request, {claim_verdict::unavailable, {}});
+    this->notify_owner(call);
+    if (is_submitted_here && this->owner_of(call.shard))
+        this->submit(call, nullptr);
+}
+
+void claim_manager::finish(const helpers::request_id& request, claim_verdict verdict) {
+    const auto found = this->pending.find(request);
+    if (found == this->pending.end())
+        return;
+    auto& each = found->second;
+    const auto now = this->loop.time().now();
+    // The owner lives and waits for the store, which may return before the deadline.
+    if (verdict == claim_verdict::unavailable) {
+        each.unanswered = 0;
+        return;
+    }
+    const auto valid_until = std::min(each.asked + this->settings.claim_validity, each.deadline);
+    if (verdict == claim_verdict::claimed && now >= valid_until)
+        return;
+    this->end(request, {verdict, valid_until});
+}
+
+void claim_manager::end(const helpers::request_id& request, claim_answer answer) {
+    const auto found = this->pending.find(request);
+    this->loop.cancel(found->second.deadline_timer);
+    this->loop.cancel(found->second.resend_timer);
+    const auto done = std::move(found->second.done);
+    this->pending.erase(found);
+    done(answer);
+}
+
+void claim_manager::complete(const claim_request& request) {
+    this->notify_owner(this->call_for(claim_action::complete, request));
+}
+
+void claim_manager::release(const claim_request& request) {
+    this->notify_owner(this->call_for(claim_action::release, request));
+}
+
+void claim_manager::notify_owner(const claim_call& call) {
+    const auto owner = this->owner_of(call.shard);
+    if (owner)
+        this->network.send(*owner, call);
+    if (!owner || this->is_claimed_here(call))
+        this->submit(call, nullptr);
+}
+
+// Whether this router wrote the claim itself because it could not reach the owner.
+bool claim_manager::is_claimed_here(const claim_call& call) const {
+    const auto found = this->journals.find(call.shard);
+    if (found == this->journals.end())
+        return false;
+    const auto* record = found->second->journal.records().find(call.key);
+    return record != nullptr && record->request == call.request;
+}
+
+void claim_manager::submit(const claim_call& call, const helpers::endpoint* reply_to) {
+    if (call.shard >= shard_count)
+        return;
+    auto& target = this->journal_for(call.shard);
+    target.last_used = this->loop.time().now();
+    if (call.action == claim_action::claim && reply_to != nullptr) {
+        this->askers.insert_or_assign(call.request, *reply_to);
+        // Asked again: a sign of life is all that can be answered yet.
+        if (target.journal.is_deciding(call.request)) {
+            this->network.send(*reply_to, call_answer{call.request, claim_verdict::unavailable});
+            return;
+        }
+    }
+    target.journal.submit(call, target.last_used);
+    this->run(call.shard);
+}
+
+claim_manager::running_journal& claim_manager::journal_for(std::uint32_t shard) {
+    auto& found = this->journals[shard];
+    if (found != nullptr)
+        return *found;
+    auto settings = this->settings.journal;
+    settings.shard = shard;
+    settings.writer = this->settings.writer;
+    found = std::make_unique<running_journal>(settings);
+    return *found;
+}
+
+void claim_manager::run(std::uint32_t shard) {
+    auto& target = *this->journals.at(shard);
+    target.journal.tick(this->loop.time().now(), this->loop.time().wall());
+    for (const auto& action : target.journal.drain())
+        this->perform(shard, action);
+    this->loop.cancel(std::exchange(target.timer, 0));
+    const auto due = target.journal.due();
+    if (!due)
+        return;
+    const auto wait = std::max(*due - this->loop.time().now(), helpers::duration::zero());
+    target.timer = this->loop.schedule(wait, [this, shard] {
+        this->run(shard);
+        this->drop_unused_journals();
+    });
+}
+
+void claim_manager::perform(std::uint32_t shard, const journal_action& action) {
+    const auto take = [this, shard,
+                       token = std::weak_ptr<bool>(this->alive)](const object_reply& reply) {
+        if (!token.expired())
+            this->take_reply(shard, reply);
+    };
+    if (const auto* read = std::get_if<read_object>(&action))
+        this->objects.read(read->key, take);
+    if (const auto* write = std::get_if<write_object>(&action))
+        this->objects.write(write->key, write->expected, write->value, take);
+    if (const auto* removal = std::get_if<remove_object>(&action))
+        this->objects.remove(removal->key, removal->version);
+    // Answered later, so that no caller runs within the journal's step.
+    if (const auto* answer = std::get_if<call_answer>(&action))
+        this->loop.post([this, answer = *answer, token = std::weak_ptr<bool>(this->alive)] {
+            if (!token.expired())
+                this->deliver(answer);
+        });
+}
+
+void claim_manager::take_reply(std::uint32_t shard, const object_reply& reply) {
+    this->journals.at(shard)->journal.take(reply, this->loop.time().now(),
+                                           this->loop.time().wall());
+    this->run(shard);
+}
+
+void claim_manager::deliver(const call_answer& answer) {
+    const auto asker = this->askers.find(answer.request);
+    if (asker != this->askers.end()) {
+        this->network.send(asker->second, answer);
+        this->askers.erase(asker);
+        return;
+    }
+    this->finish(answer.request, answer.verdict);
+}
+
+void claim_manager::drop_unused_journals() {
+    const auto oldest = this->loop.time().now() - this->settings.journal_idle;
+    std::erase_if(this->journals, [oldest](const auto& entry) {
+        return entry.second->journal.is_idle() && entry.second->last_used < oldest;
+    });
+}
+
+} // namespace samphirespool::claims
--- /dev/null
+++ b/src/claims/claim_network.hpp
@@ -0,0 +1,37 @@
+// What claims need from the layers above: messages to the owner of a shard, and the store's
+// objects.
+#pragma once
+
+#include "claims/claim_journal.hpp"
+#include "helpers/endpoint.hpp"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace samphirespool::claims {
+
+class claim_network {
+public:
+    virtual ~claim_network() = default;
+
+    // Best effort.
+    virtual void send(const helpers::endpoint& to, const claim_call& call) = 0;
+    virtual void send(const helpers::endpoint& to, const call_answer& answer) = 0;
+
+    virtual void
+    receive_calls(std::function<void(const helpers::endpoint&, const claim_call&)> handler) = 0;
+    virtual void receive_answers(std::function<void(const call_answer&)> handler) = 0;
+};
+
+// The objects of the platform's store, as the journals use them. Never answers from within a call.
+class journal_objects {
+public:
+    virtual ~journal_objects() = default;
+    virtual void read(std::string_view key, std::function<void(object_reply)> done) = 0;
+    virtual void write(std::string_view key, std::uint64_t expected, std::string value,
+                       std::function<void(object_reply)> done) = 0;
+    virtual void remove(std::string_view key, std::uint64_t version) = 0;
+};
+
+} // namespace samphirespool::claims
--- a/standins/common/answer_text.hpp
+++ b/standins/common/answer_text.hpp
@@ -1,5 +1,5 @@
-// The text of stand-in engines' answers: it follows from the prompt alone, so that whoever knows the
-// prompt can check that an answer is whole and its own.
+// The text of stand-in engines' answers: it follows from the prompt alone, so that whoever knows
+// the prompt can check that an answer is whole and its own.
 #pragma once
 
 #include <xxhash.h>
--- a/standins/load/load_run.cpp
+++ b/standins/load/load_run.cpp
@@ -126,8 +126,8 @@
             return;
         }
         const auto token = event.substr(mark + content_mark.size(), token_bytes);
-        this->is_wrong = this->is_wrong || this->saw_end ||
-                         token != token_text(this->hash, this->tokens);
+        this->is_wrong =
+            this->is_wrong || this->saw_end || token != token_text(this->hash, this->tokens);
         ++this->tokens;
     }
 
@@ -147,16 +147,14 @@
         if (!this->run.options.bookings && !this->run.options.stream)
             this->check_whole();
         const bool whole =
-            this->run.options.bookings ||
-            (this->tokens == this->run.options.max_tokens &&
-             (this->saw_end || !this->run.options.stream));
+            this->run.options.bookings || (this->tokens == this->run.options.max_tokens &&
+                                           (this->saw_end || !this->run.options.stream));
         if (this->is_wrong || !whole)
             ++this->run.summary.wrong;
         else
             ++this->run.summary.answered_whole;
         this->run.summary.tokens += this->tokens;
-        this->run.summary.whole.push_back(
-            milliseconds(this->run.loop.time().now() - this->due));
+        this->run.summary.whole.push_back(milliseconds(this->run.loop.time().now() - this->due));
     }
 
     void judge_refusal() {
@@ -206,7 +204,10 @@
 };
 
 load_run::load_run(http::event_loop& loop, const load_options& options)
-    : loop(loop), options(options), client(loop, {}), random(options.seed),
+    : loop(loop),
+      options(options),
+      client(loop, {}),
+      random(options.seed),
       chats(std::max<std::uint64_t>(options.chats, 1)) {}
 
 load_run::~load_run() {
@@ -265,9 +266,8 @@
     } else {
         const std::chrono::duration<double> between(1 / this->options.rate);
         for (;;) {
-            const auto due =
-                this->began + std::chrono::duration_cast<helpers::duration>(
-                                  between * static_cast<double>(this->started));
+            const auto due = this->began + std::chrono::duration_cast<helpers::duration>(
+                                               between * static_cast<double>(this->started));
             if (due > now || this->arrivals_over())
                 break;
             this->start(due);
@@ -297,7 +297,8 @@
     auto& text = this->chats[chat_number].text;
     const auto wanted =
         text.empty() ? this->options.prompt_bytes : text.size() + this->options.turn_bytes;
-    kernel::random_source words(this->options.seed * 1'000'003 + chat_number + (text.size() << 20U));
+    kernel::random_source words(this->options.seed * 1'000'003 + chat_number +
+                                (text.size() << 20U));
     while (text.size() < wanted)
         text += token_text(words.next(), 0);
     return text;
--- /dev/null
+++ b/tests/claims/test_claims.cpp
@@ -0,0 +1,167 @@
+// Tests of claims: verdicts, two owners, lost answers, outages, dated keys, and random schedules
+// in which nothing may run twice.
+#include "tests/claims/fake_claim_fleet.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <set>
+#include <string>
+
+using namespace samphirespool;
+using namespace std::chrono_literals;
+using claims::claim_verdict;
+using store_tests::write_fate;
+
+TEST_CASE("claims: the same key through any two routers is claimed once") {
+    store_tests::claim_fleet fleet(4);
+    const auto first = fleet.request(0, "k");
+    CHECK(fleet.claim(0, first).verdict == claim_verdict::claimed);
+    CHECK(fleet.claim(0, first).verdict == claim_verdict::claimed);
+    for (std::size_t i = 0; i < 4; ++i)
+        CHECK(fleet.verdict(i, "k") == claim_verdict::taken);
+    CHECK(fleet.verdict(1, "k", 99) == claim_verdict::mismatch);
+    fleet.routers[0]->manager->complete(first);
+    fleet.loop.advance(3s);
+    CHECK(fleet.verdict(2, "k") == claim_verdict::executed);
+    CHECK(fleet.verdict(2, "k", 99) == claim_verdict::mismatch);
+}
+
+TEST_CASE("claims: a released key can be taken again, but not by who released it") {
+    store_tests::claim_fleet fleet(3);
+    const auto first = fleet.request(1, "k");
+    REQUIRE(fleet.claim(1, first).verdict == claim_verdict::claimed);
+    fleet.routers[1]->manager->release(first);
+    fleet.loop.advance(1s);
+    const auto second = fleet.request(2, "k");
+    CHECK(fleet.claim(2, second).verdict == claim_verdict::claimed);
+    fleet.routers[2]->manager->release(second);
+    fleet.loop.advance(1s);
+    CHECK(fleet.claim(2, second).verdict == claim_verdict::unavailable);
+}
+
+TEST_CASE("claims: a lost answer on every kind of write is read back") {
+    for (const auto fate : {write_fate::lost_before_effect, write_fate::lost_after_effect,
+                            write_fate::lost_and_late, write_fate::refused}) {
+        store_tests::claim_fleet fleet(3);
+        fleet.shared.faults.scripted["claims/"] = {fate, fate};
+        // Enough claims for snapshots and merges, with the same fate again and again.
+        std::set<std::string> claimed;
+        for (int i = 0; i < 400; ++i) {
+            if (i % 7 == 0)
+                fleet.shared.faults.scripted["claims/"] = {fate};
+            const auto key = "k" + std::to_string(i);
+            if (fleet.verdict(static_cast<std::size_t>(i) % 3, key) == claim_verdict::claimed)
+                claimed.insert(key);
+        }
+        CHECK(claimed.size() == 400);
+        for (const auto& key : claimed)
+            CHECK(fleet.verdict(1, key) == claim_verdict::taken);
+    }
+}
+
+TEST_CASE("claims: records outlive every router and every owner") {
+    store_tests::claim_fleet fleet(3);
+    for (int i = 0; i < 300; ++i)
+        REQUIRE(fleet.verdict(static_cast<std::size_t>(i) % 3, "k" + std::to_string(i)) ==
+                claim_verdict::claimed);
+    for (std::size_t i = 0; i < 3; ++i)
+        fleet.start(i);
+    for (int i = 0; i < 300; ++i)
+        CHECK(fleet.verdict(static_cast<std::size_t>(i) % 3, "k" + std::to_string(i)) ==
+              claim_verdict::taken);
+    std::size_t objects = 0;
+    fleet.shared.objects.visit("claims/", [&objects](const auto&, const auto&) { ++objects; });
+    // Snapshots are merged and the merged ones deleted.
+    CHECK(objects < 100);
+}
+
+TEST_CASE("claims: without the store a claim waits within the deadline, then was not made") {
+    store_tests::claim_fleet fleet(3);
+    REQUIRE(fleet.verdict(0, "before") == claim_verdict::claimed);
+    fleet.shared.set_down(true);
+    const auto start = fleet.loop.time().now();
+    CHECK(fleet.verdict(0, "k") == claim_verdict::unavailable);
+    CHECK(fleet.loop.time().now() - start >= 5s);
+    std::optional<claim_verdict> waiting;
+    fleet.routers[1]->manager->claim(
+        fleet.request(1, "k", 20s),
+        [&](const claims::claim_answer& got) { waiting = got.verdict; });
+    fleet.loop.advance(8s);
+    CHECK_FALSE(waiting);
+    fleet.shared.set_down(false);
+    fleet.loop.advance(3s);
+    CHECK(waiting == claim_verdict::claimed);
+}
+
+TEST_CASE("claims: an unreachable owner is replaced by the router itself") {
+    store_tests::claim_fleet fleet(4);
+    fleet.frames.lost_share = 1;
+    for (int i = 0; i < 40; ++i) {
+        const auto key = "k" + std::to_string(i);
+        int claimed = 0;
+        for (std::size_t at = 0; at < 4; ++at)
+            claimed += fleet.verdict(at, key) == claim_verdict::claimed ? 1 : 0;
+        CHECK(claimed == 1);
+    }
+}
+
+TEST_CASE("claims: a dated key is refused once its record may be forgotten, by any clock") {
+    CHECK(claims::date_of("1700000000000-a") == 1700000000000);
+    CHECK(claims::date_of("018bcfe5-6800-7000-8000-000000000000") == 1700000000000);
+    CHECK_FALSE(claims::date_of("order-17"));
+    CHECK_FALSE(claims::date_of("1700000000000"));
+    claims::claim_call call;
+    call.key_date = 10 * claims::key_validity_ms;
+    const auto verdict_at = [&call](std::int64_t floor, std::int64_t now) {
+        return claims::evaluate(call, nullptr, floor, now).verdict;
+    };
+    CHECK(verdict_at(0, call.key_date) == claim_verdict::claimed);
+    CHECK(verdict_at(0, call.key_date + claims::key_validity_ms + 1) == claim_verdict::expired);
+    CHECK(verdict_at(0, call.key_date - claims::max_key_lead_ms - 1) == claim_verdict::expired);
+    // A slow clock does not bring back what the floor has passed.
+    CHECK(verdict_at(call.key_date, call.key_date) == claim_verdict::expired);
+}
+
+TEST_CASE("claims: an owner that slept through the forgetting of a key does not run it again") {
+    store_tests::claim_fleet fleet(2);
+    const auto now = fleet.loop.time().wall();
+    char digits[32];
+    std::snprintf(digits, sizeof digits, "%013lld-x", static_cast<long long>(now));
+    const std::string key = digits;
+    REQUIRE(fleet.verdict(0, key) == claim_verdict::claimed);
+    // Every shard goes on for longer than the validity.
+    for (int hour = 0; hour < 30; ++hour) {
+        fleet.loop.advance(1h);
+        for (int i = 0; i < 40; ++i)
+            fleet.verdict(0, "h" + std::to_string(hour) + "-" + std::to_string(i));
+    }
+    claims::journal_settings settings;
+    settings.shard = claims::shard_of(claims::key_of({7}, key));
+    settings.writer = "sleeper";
+    claims::claim_journal sleeper(settings);
+    claims::claim_call call;
+    call.shard = settings.shard;
+    call.key = claims::key_of({7}, key);
+    call.key_date = now;
+    call.fingerprint = 1;
+    call.request = {{9}, {9}, 9};
+    call.remaining = 10s;
+    // Its wall clock stopped at the time of the first claim.
+    sleeper.submit(call, fleet.loop.time().now());
+    std::optional<claim_verdict> verdict;
+    for (int i = 0; i < 100 && !verdict; ++i) {
+        sleeper.tick(fleet.loop.time().now(), now);
+        for (const auto& action : sleeper.drain()) {
+            if (const auto* answer = std::get_if<claims::call_answer>(&action))
+                verdict = answer->verdict;
+            const auto* read = std::get_if<claims::read_object>(&action);
+            if (read == nullptr)
+                continue;
+            const auto found = fleet.shared.find(read->key);
+            sleeper.take({claims::object_status::ok, found.found.version, found.found.value},
+                         fleet.loop.time().now(), now);
+        }
+    }
+    CHECK(verdict == claim_verdict::expired);
+}
--- a/tests/store/fake_fleet.hpp
+++ b/tests/store/configuration_fleet.hpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace samphirespool::tests {
+namespace samphirespool::store_tests {
 
 class fake_network {
 public:
@@ -113,8 +113,8 @@
     bool went_back = false;
 };
 
-struct fake_fleet {
-    explicit fake_fleet(std::size_t size, std::size_t regions = 1, std::uint64_t seed = 1)
+struct configuration_fleet {
+    explicit configuration_fleet(std::size_t size, std::size_t regions = 1, std::uint64_t seed = 1)
         : shared(loop, seed), regions(regions), routers(size) {
         for (std::size_t i = 0; i < size; ++i)
             this->start_router(i);
@@ -173,4 +173,4 @@
     std::vector<std::unique_ptr<fake_router>> routers;
 };
 
-} // namespace samphirespool::tests
+} // namespace samphirespool::store_tests
--- a/tests/store/fake_exchange.hpp
+++ b/tests/store/fake_exchange.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <utility>
 
-namespace samphirespool::tests {
+namespace samphirespool::store_tests {
 
 struct kept_answer {
     // Nothing until the handler has answered.
@@ -60,4 +60,4 @@
     kept_answer& answer;
 };
 
-} // namespace samphirespool::tests
+} // namespace samphirespool::store_tests
--- a/tests/store/fake_object_store.hpp
+++ b/tests/store/fake_object_store.hpp
@@ -13,12 +13,13 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
-namespace samphirespool::tests {
+namespace samphirespool::store_tests {
 
 enum class write_fate : std::uint8_t {
     answered,
@@ -92,45 +93,49 @@
 public:
     explicit fake_object_store(shared_store& shared) : shared(shared) {}
 
-    // Only this client cannot reach the store.
-    bool cut_off = false;
+    // Whether only this client cannot reach the store.
+    void set_cut_off(bool wanted) { *this->cut = wanted; }
+    bool is_cut_off() const { return *this->cut; }
 
     void read(std::string_view key, std::function<void(store::read_result)> done) override {
         ++this->shared.reads;
-        this->later([this, key = std::string(key), done = std::move(done)] {
-            const auto fails = this->is_down() || this->shared.random.fraction() <
-                                                      this->shared.faults.read_fault_share;
-            done(fails ? store::read_result{store::store_status::refused, {}}
-                       : this->shared.find(key));
+        this->later([&shared = this->shared, cut = this->cut, key = std::string(key),
+                     done = std::move(done)] {
+            const auto fails =
+                is_down(shared, *cut) || shared.random.fraction() < shared.faults.read_fault_share;
+            done(fails ? store::read_result{store::store_status::refused, {}} : shared.find(key));
         });
     }
 
     void write(std::string_view key, store::object_version expected, std::string value,
                std::function<void(store::write_result)> done) override {
         ++this->shared.writes;
-        this->update(key, std::move(done), [this, expected, key = std::string(key), value] {
-            const auto result = this->shared.objects.put(key, expected, value);
-            if (result.status == standins::update_status::ok)
-                this->shared.wake(key);
-            return result;
-        });
+        this->update(key, std::move(done),
+                     [&shared = this->shared, expected, key = std::string(key), value] {
+                         const auto result = shared.objects.put(key, expected, value);
+                         if (result.status == standins::update_status::ok)
+                             shared.wake(key);
+                         return result;
+                     });
     }
 
     void remove(std::string_view key, store::object_version expected,
                 std::function<void(store::write_result)> done) override {
-        this->update(key, std::move(done), [this, expected, key = std::string(key)] {
-            return this->shared.objects.remove(key, expected);
-        });
+        this->update(key, std::move(done),
+                     [&shared = this->shared, expected, key = std::string(key)] {
+                         return shared.objects.remove(key, expected);
+                     });
     }
 
     void list(std::string_view prefix, std::function<void(store::list_result)> done) override {
-        this->later([this, prefix = std::string(prefix), done = std::move(done)] {
-            if (this->is_down()) {
+        this->later([&shared = this->shared, cut = this->cut, prefix = std::string(prefix),
+                     done = std::move(done)] {
+            if (is_down(shared, *cut)) {
                 done({store::store_status::refused, {}});
                 return;
             }
             store::list_result result{store::store_status::ok, {}};
-            this->shared.objects.visit(prefix, [&result](const auto& key, const auto& found) {
+            shared.objects.visit(prefix, [&result](const auto& key, const auto& found) {
                 result.objects.push_back({key, found.version, ""});
             });
             done(std::move(result));
@@ -140,7 +145,7 @@
     void watch(std::string_view key, store::object_version after, helpers::duration max_wait,
                std::function<void(store::read_result)> done) override {
         ++this->shared.watches;
-        if (this->is_down()) {
+        if (is_down(this->shared, *this->cut)) {
             this->later([done = std::move(done)] { done({store::store_status::refused, {}}); });
             return;
         }
@@ -159,16 +164,19 @@
     }
 
     void list_vms(std::function<void(store::vm_list_result)> done) override {
-        this->later([this, done = std::move(done)] {
-            if (this->is_down())
+        this->later([&shared = this->shared, cut = this->cut, done = std::move(done)] {
+            if (is_down(shared, *cut))
                 done({store::store_status::refused, {}});
             else
-                done({store::store_status::ok, this->shared.vms});
+                done({store::store_status::ok, shared.vms});
         });
     }
 
 private:
-    bool is_down() const { return this->cut_off || this->shared.faults.down; }
+    // A call in flight outlives its client, as a request does that is already on the wire.
+    static bool is_down(const shared_store& shared, bool is_cut) {
+        return is_cut || shared.faults.down;
+    }
 
     void later(kernel::task work) {
         this->shared.loop.schedule(this->shared.faults.delay, std::move(work));
@@ -182,7 +190,7 @@
             fates.pop_front();
             return result;
         }
-        if (this->is_down())
+        if (is_down(this->shared, *this->cut))
             return write_fate::refused;
         if (this->shared.random.fraction() >= this->shared.faults.write_fault_share)
             return write_fate::answered;
@@ -192,21 +200,22 @@
     void update(std::string_view key, std::function<void(store::write_result)> done,
                 std::function<standins::update_result()> apply) {
         const auto fate = this->fate_of(key);
-        this->later([this, fate, done = std::move(done), apply = std::move(apply)] {
-            if (fate == write_fate::refused) {
-                done({store::store_status::refused, store::absent});
-                return;
-            }
-            if (fate == write_fate::lost_after_effect)
-                apply();
-            if (fate == write_fate::lost_and_late)
-                this->shared.loop.schedule(std::chrono::milliseconds(300), [apply] { apply(); });
-            if (fate != write_fate::answered) {
-                done({store::store_status::unknown, store::absent});
-                return;
-            }
-            done(to_write_result(apply()));
-        });
+        this->later(
+            [&shared = this->shared, fate, done = std::move(done), apply = std::move(apply)] {
+                if (fate == write_fate::refused) {
+                    done({store::store_status::refused, store::absent});
+                    return;
+                }
+                if (fate == write_fate::lost_after_effect)
+                    apply();
+                if (fate == write_fate::lost_and_late)
+                    shared.loop.schedule(std::chrono::milliseconds(300), [apply] { apply(); });
+                if (fate != write_fate::answered) {
+                    done({store::store_status::unknown, store::absent});
+                    return;
+                }
+                done(to_write_result(apply()));
+            });
     }
 
     static store::write_result to_write_result(const standins::update_result& from) {
@@ -218,6 +227,7 @@
     }
 
     shared_store& shared;
+    std::shared_ptr<bool> cut = std::make_shared<bool>(false);
 };
 
-} // namespace samphirespool::tests
+} // namespace samphirespool::store_tests
--- a/tests/store/test_configuration_store.cpp
+++ b/tests/store/test_configuration_store.cpp
@@ -1,6 +1,6 @@
 // Tests of the configuration over store and peers: acceptance, lost answers, racing operators,
 // outages, provisional marks, starts, and never back a version.
-#include "tests/store/fake_fleet.hpp"
+#include "tests/store/configuration_fleet.hpp"
 
 #include <doctest/doctest.h>
 
@@ -11,7 +11,7 @@
 using namespace std::chrono_literals;
 using config::change_status;
 using config::mark_state;
-using tests::write_fate;
+using store_tests::write_fate;
 
 namespace {
 
@@ -51,7 +51,7 @@
     return result;
 }
 
-bool is_leaving(const tests::fake_router& router, const std::string& name) {
+bool is_leaving(const store_tests::fake_router& router, const std::string& name) {
     const auto current = router.store->current();
     if (current == nullptr)
         return false;
@@ -59,7 +59,7 @@
     return found != current->data_centre_marks.end() && found->second.state == mark_state::leaving;
 }
 
-bool all_leaving(const tests::fake_fleet& fleet, const std::string& name) {
+bool all_leaving(const store_tests::configuration_fleet& fleet, const std::string& name) {
     return std::all_of(fleet.routers.begin(), fleet.routers.end(),
                        [&name](const auto& each) { return is_leaving(*each, name); });
 }
@@ -67,7 +67,7 @@
 } // namespace
 
 TEST_CASE("configuration store: a single router learns, accepts, refuses and restarts") {
-    tests::fake_fleet fleet(1);
+    store_tests::configuration_fleet fleet(1);
     fleet.run_until([&] { return fleet.routers[0]->store->current() != nullptr; });
     REQUIRE(fleet.routers[0]->store->current() != nullptr);
     const auto accepted = fleet.change(0, preset_change("peak", "a"));
@@ -94,7 +94,7 @@
                         write_fate::lost_and_late, write_fate::refused};
     for (const auto fate : fates) {
         for (const auto* key : {"configuration/root", "configuration/chunk/"}) {
-            tests::fake_fleet fleet(1);
+            store_tests::configuration_fleet fleet(1);
             fleet.run_until([&] { return fleet.routers[0]->store->current() != nullptr; });
             fleet.change(0, import_of(3));
             fleet.shared.faults.scripted[key] = {fate, fate};
@@ -112,7 +112,7 @@
 }
 
 TEST_CASE("configuration store: racing operators each change the version that they saw") {
-    tests::fake_fleet fleet(3);
+    store_tests::configuration_fleet fleet(3);
     fleet.run_until([&] { return fleet.routers[2]->store->current() != nullptr; });
     fleet.loop.advance(3s);
     CHECK(fleet.change(0, preset_change("peak", "first")).version == 1);
@@ -144,7 +144,7 @@
 }
 
 TEST_CASE("configuration store: a change is in force on every router within four seconds") {
-    tests::fake_fleet fleet(30, 3);
+    store_tests::configuration_fleet fleet(30, 3);
     fleet.network.lost_share = 0.2;
     fleet.loop.advance(5s);
     REQUIRE(fleet.all_at(0));
@@ -162,7 +162,7 @@
 
 TEST_CASE("configuration store: store calls do not grow with the number of routers") {
     const auto calls_of = [](std::size_t routers) {
-        tests::fake_fleet fleet(routers);
+        store_tests::configuration_fleet fleet(routers);
         fleet.loop.advance(10s);
         const auto before = fleet.shared.reads + fleet.shared.writes + fleet.shared.watches;
         fleet.loop.advance(60s);
@@ -172,7 +172,7 @@
 }
 
 TEST_CASE("configuration store: a leave mark takes effect while the store is down") {
-    tests::fake_fleet fleet(12, 2);
+    store_tests::configuration_fleet fleet(12, 2);
     fleet.loop.advance(5s);
     fleet.shared.set_down(true);
     fleet.loop.advance(5s);
@@ -203,22 +203,22 @@
 }
 
 TEST_CASE("configuration store: a return by someone who did not know the mark does not undo it") {
-    tests::fake_fleet fleet(4, 2);
+    store_tests::configuration_fleet fleet(4, 2);
     fleet.loop.advance(5s);
     REQUIRE(fleet.change(0, leave("dc1", "m0")).status == change_status::accepted);
     REQUIRE(fleet.change(0, leave("dc1", "m1", mark_state::returning)).version == 2);
     fleet.run_until([&] { return fleet.all_at(2); });
     // Region 1 (routers 1 and 3) is cut off from the store and from region 0.
-    fleet.routers[1]->objects.cut_off = true;
-    fleet.routers[3]->objects.cut_off = true;
+    fleet.routers[1]->objects.set_cut_off(true);
+    fleet.routers[3]->objects.set_cut_off(true);
     const auto side = [](const helpers::endpoint& at) { return (at.ip.back() - '0') % 2; };
     fleet.network.is_cut = [&](const auto& a, const auto& b) { return side(a) != side(b); };
     CHECK(fleet.change(1, leave("dc1", "cut")).status == change_status::in_effect_not_durable);
     CHECK(is_leaving(*fleet.routers[3], "dc1"));
     CHECK(fleet.change(0, leave("dc1", "again", mark_state::returning)).version == 3);
     CHECK_FALSE(is_leaving(*fleet.routers[0], "dc1"));
-    fleet.routers[1]->objects.cut_off = false;
-    fleet.routers[3]->objects.cut_off = false;
+    fleet.routers[1]->objects.set_cut_off(false);
+    fleet.routers[3]->objects.set_cut_off(false);
     fleet.network.is_cut = nullptr;
     fleet.run_until([&] { return fleet.all_at(4); });
     CHECK(fleet.all_at(4));
@@ -226,7 +226,7 @@
 }
 
 TEST_CASE("configuration store: no router takes work before it has the highest version") {
-    tests::fake_fleet fleet(3);
+    store_tests::configuration_fleet fleet(3);
     fleet.loop.advance(4s);
     fleet.change(0, preset_change("peak", "a"));
     fleet.run_until([&] { return fleet.all_at(1); });
@@ -245,7 +245,7 @@
 }
 
 TEST_CASE("configuration store: a small change among 36,000 organisations writes one chunk") {
-    tests::fake_fleet fleet(3);
+    store_tests::configuration_fleet fleet(3);
     fleet.loop.advance(4s);
     REQUIRE(fleet.change(0, import_of(36'000)).status == change_status::accepted);
     fleet.run_until([&] { return fleet.all_at(1); });
--- a/tests/store/test_http_object_store.cpp
+++ b/tests/store/test_http_object_store.cpp
@@ -115,9 +115,9 @@
 
     std::unique_ptr<http::client_call> start(const http::client_request& request,
                                              http::response_listener& listener) override {
-        tests::kept_answer answer;
-        this->platform.handle(std::make_unique<tests::fake_exchange>(request.method, request.path,
-                                                                     request.body, answer));
+        store_tests::kept_answer answer;
+        this->platform.handle(std::make_unique<store_tests::fake_exchange>(
+            request.method, request.path, request.body, answer));
         this->loop.post([answer, &listener] {
             if (answer.broken) {
                 listener.on_failed({}, true);
@@ -144,9 +144,9 @@
     store::http_object_store objects(loop, client, {});
     const std::vector<helpers::vm_entry> vms{
         {"vm-1", "dc1", "north", true, {{"t1", "chat", {"10.0.0.1", 80}, 3}}}};
-    tests::kept_answer set;
-    platform.handle(std::make_unique<tests::fake_exchange>("PUT", "/control/vms",
-                                                           store::write_vm_list(vms), set));
+    store_tests::kept_answer set;
+    platform.handle(std::make_unique<store_tests::fake_exchange>("PUT", "/control/vms",
+                                                                 store::write_vm_list(vms), set));
 
     store::write_result written;
     objects.write("a b/c%", 0, "x\"\n", [&](store::write_result got) { written = got; });
