--- a/tests/claims/fake_claim_fleet.hpp
+++ b/tests/claims/fake_claim_fleet.hpp
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace samphirespool::store_tests {
+namespace samphirespool::tests {
 
 // Frames between routers, lost at random, delivered by the loop.
 class fake_frames {
@@ -150,4 +150,4 @@
     std::vector<std::unique_ptr<claim_router>> routers;
 };
 
-} // namespace samphirespool::store_tests
+} // namespace samphirespool::tests
--- a/tests/claims/test_claim_schedules.cpp
+++ b/tests/claims/test_claim_schedules.cpp
@@ -78,7 +78,7 @@
             this->fleet.frames.lost_share = 0.02;
     }
 
-    static void toggle_store(store_tests::fake_object_store& client) {
+    static void toggle_store(tests::fake_object_store& client) {
         client.set_cut_off(!client.is_cut_off());
     }
 
@@ -93,7 +93,7 @@
         this->fleet.loop.advance(10s);
     }
 
-    store_tests::claim_fleet fleet;
+    tests::claim_fleet fleet;
     kernel::random_source random;
     std::vector<int> runs;
     std::map<claim_verdict, int> verdicts;
--- a/tests/claims/test_claims.cpp
+++ b/tests/claims/test_claims.cpp
@@ -11,10 +11,10 @@
 using namespace samphirespool;
 using namespace std::chrono_literals;
 using claims::claim_verdict;
-using store_tests::write_fate;
+using tests::write_fate;
 
 TEST_CASE("claims: the same key through any two routers is claimed once") {
-    store_tests::claim_fleet fleet(4);
+    tests::claim_fleet fleet(4);
     const auto first = fleet.request(0, "k");
     CHECK(fleet.claim(0, first).verdict == claim_verdict::claimed);
     CHECK(fleet.claim(0, first).verdict == claim_verdict::claimed);
@@ -28,7 +28,7 @@
 }
 
 TEST_CASE("claims: a released key can be taken again, but not by who released it") {
-    store_tests::claim_fleet fleet(3);
+    tests::claim_fleet fleet(3);
     const auto first = fleet.request(1, "k");
     REQUIRE(fleet.claim(1, first).verdict == claim_verdict::claimed);
     fleet.routers[1]->manager->release(first);
@@ -43,7 +43,7 @@
 TEST_CASE("claims: a lost answer on every kind of write is read back") {
     for (const auto fate : {write_fate::lost_before_effect, write_fate::lost_after_effect,
                             write_fate::lost_and_late, write_fate::refused}) {
-        store_tests::claim_fleet fleet(3);
+        tests::claim_fleet fleet(3);
         fleet.shared.faults.scripted["claims/"] = {fate, fate};
         // Enough claims for snapshots and merges, with the same fate again and again.
         std::set<std::string> claimed;
@@ -61,7 +61,7 @@
 }
 
 TEST_CASE("claims: records outlive every router and every owner") {
-    store_tests::claim_fleet fleet(3);
+    tests::claim_fleet fleet(3);
     for (int i = 0; i < 300; ++i)
         REQUIRE(fleet.verdict(static_cast<std::size_t>(i) % 3, "k" + std::to_string(i)) ==
                 claim_verdict::claimed);
@@ -77,7 +77,7 @@
 }
 
 TEST_CASE("claims: without the store a claim waits within the deadline, then was not made") {
-    store_tests::claim_fleet fleet(3);
+    tests::claim_fleet fleet(3);
     REQUIRE(fleet.verdict(0, "before") == claim_verdict::claimed);
     fleet.shared.set_down(true);
     const auto start = fleet.loop.time().now();
@@ -95,7 +95,7 @@
 }
 
 TEST_CASE("claims: an unreachable owner is replaced by the router itself") {
-    store_tests::claim_fleet fleet(4);
+    tests::claim_fleet fleet(4);
     fleet.frames.lost_share = 1;
     for (int i = 0; i < 40; ++i) {
         const auto key = "k" + std::to_string(i);
@@ -124,7 +124,7 @@
 }
 
 TEST_CASE("claims: an owner that slept through the forgetting of a key does not run it again") {
-    store_tests::claim_fleet fleet(2);
+    tests::claim_fleet fleet(2);
     const auto now = fleet.loop.time().wall();
     char digits[32];
     std::snprintf(digits, sizeof digits, "%013lld-x", static_cast<long long>(now));
--- a/tests/store/configuration_fleet.hpp
+++ b/tests/store/configuration_fleet.hpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace samphirespool::store_tests {
+namespace samphirespool::tests {
 
 class fake_network {
 public:
@@ -173,4 +173,4 @@
     std::vector<std::unique_ptr<fake_router>> routers;
 };
 
-} // namespace samphirespool::store_tests
+} // namespace samphirespool::tests
--- a/tests/store/fake_object_store.hpp
+++ b/tests/store/fake_object_store.hpp
@@ -19,7 +19,7 @@
 #include <utility>
 #include <vector>
 
-namespace samphirespool::store_tests {
+namespace samphirespool::tests {
 
 enum class write_fate : std::uint8_t {
     answered,
@@ -230,4 +230,4 @@
     std::shared_ptr<bool> cut = std::make_shared<bool>(false);
 };
 
-} // namespace samphirespool::store_tests
+} // namespace samphirespool::tests
