--- a/tests/store/test_configuration_store.cpp
+++ b/tests/store/test_configuration_store.cpp
@@ -209,16 +209,16 @@
     REQUIRE(fleet.change(0, leave("dc1", "m1", mark_state::returning)).version == 2);
     fleet.run_until([&] { return fleet.all_at(2); });
     // Region 1 (routers 1 and 3) is cut off from the store and from region 0.
-    fleet.routers[1]->objects.cut_off = true;
-    fleet.routers[3]->objects.cut_off = true;
+    fleet.routers[1]->objects.set_cut_off(true);
+    fleet.routers[3]->objects.set_cut_off(true);
     const auto side = [](const helpers::endpoint& at) { return (at.ip.back() - '0') % 2; };
     fleet.network.is_cut = [&](const auto& a, const auto& b) { return side(a) != side(b); };
     CHECK(fleet.change(1, leave("dc1", "cut")).status == change_status::in_effect_not_durable);
     CHECK(is_leaving(*fleet.routers[3], "dc1"));
     CHECK(fleet.change(0, leave("dc1", "again", mark_state::returning)).version == 3);
     CHECK_FALSE(is_leaving(*fleet.routers[0], "dc1"));
-    fleet.routers[1]->objects.cut_off = false;
-    fleet.routers[3]->objects.cut_off = false;
+    fleet.routers[1]->objects.set_cut_off(false);
+    fleet.routers[3]->objects.set_cut_off(false);
     fleet.network.is_cut = nullptr;
     fleet.run_until([&] { return fleet.all_at(4); });
     CHECK(fleet.all_at(4));
