--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -96,19 +96,26 @@
 fair_queue::pop_from(std::size_t priority,
                      const std::function<bool(helpers::organisation_id)>& may_run) {
     auto& of = this->levels[priority];
-    for (const auto next : of.active) {
-        if (may_run && !may_run(next.organisation))
-            continue;
-        auto& queue = of.queues.at(next.organisation);
-        // Who was held back by a limit saves nothing up.
-        of.virtual_time = std::max(of.virtual_time, next.start);
-        const auto cost = queue.waiting.front().cost_tokens * token_time;
-        of.active.erase(next);
-        queue.start = of.virtual_time + cost / this->weight_of(next.organisation);
-        of.active.insert({queue.start, queue.order, next.organisation});
-        return this->remove({priority, queue.waiting.begin()});
-    }
-    return std::nullopt;
+    const auto next = std::ranges::find_if(
+        of.active, [&](const turn& waiting) { return !may_run || may_run(waiting.organisation); });
+    if (next == of.active.end())
+        return std::nullopt;
+    const auto chosen = *next;
+    of.virtual_time = std::max(of.virtual_time, chosen.start);
+    const std::vector<turn> held_back(of.active.begin(), next);
+    // Who is held back by a limit saves nothing up.
+    for (const auto& each : held_back)
+        this->restart_turn(of, each, of.virtual_time);
+    const auto& queue = of.queues.at(chosen.organisation);
+    const auto cost = queue.waiting.front().cost_tokens * token_time;
+    this->restart_turn(of, chosen, of.virtual_time + cost / this->weight_of(chosen.organisation));
+    return this->remove({priority, of.queues.at(chosen.organisation).waiting.begin()});
+}
+
+void fair_queue::restart_turn(level& of, const turn& old, std::uint64_t start) {
+    of.active.erase(old);
+    of.queues.at(old.organisation).start = start;
+    of.active.insert({start, old.order, old.organisation});
 }
 
 std::optional<queued_request>
--- a/src/admission/fair_queue.hpp
+++ b/src/admission/fair_queue.hpp
@@ -112,6 +112,7 @@
     std::uint32_t weight_of(helpers::organisation_id organisation) const;
     std::optional<queued_request>
     pop_from(std::size_t priority, const std::function<bool(helpers::organisation_id)>& may_run);
+    void restart_turn(level& of, const turn& old, std::uint64_t start);
     void forget_idle(level& of);
     queued_request remove(const place& at);
     void count(helpers::organisation_id organisation, int change);
