Prefer targets where the chat or its document ran lately

Among candidates below the bound it prefers where the chat ran, then the least loaded of those where its document ran, then the order of the key. try_reserve() takes the hints as an optional argument, so callers without them behave as before.

--- a/bench/placement/replay/simulation.cpp
+++ b/bench/placement/replay/simulation.cpp
@@ -1,6 +1,8 @@
 // One request's way through the replay.
 #include "bench/placement/replay/simulation.hpp"
 
+#include "placement/chat_key.hpp"
+
 #include <algorithm>
 
 namespace samphirespool::replay {
@@ -113,7 +115,10 @@
     for (const auto index : this->ranked)
         if (asking.state.may_use(part.targets[index].id))
             candidates.push_back(part.targets[index].id);
-    return ledger.try_reserve(candidates, what.cost(), to_time(this->now));
+    admission::cache_hints hints;
+    if (this->options.remember_keys && what.key != placement::no_chat)
+        hints = {what.key, {what.chat}};
+    return ledger.try_reserve(candidates, what.cost(), to_time(this->now), hints);
 }
 
 void simulation::reserve(std::uint64_t number) {
--- a/bench/placement/replay/simulation.hpp
+++ b/bench/placement/replay/simulation.hpp
@@ -21,6 +21,8 @@
     std::size_t max_candidates = 8;
     // When none of the first candidates has room, the owner is asked again with all targets.
     bool ask_all = true;
+    // Whether owners remember where keys ran.
+    bool remember_keys = false;
     // Reservations that a router may have waiting at one owner.
     std::size_t waiting_per_router = 1;
 };
--- a/src/admission/target_ledger.cpp
+++ b/src/admission/target_ledger.cpp
@@ -79,18 +79,52 @@
     return load == 0 || static_cast<double>(load) < this->bound(cost_tokens);
 }
 
+int target_ledger::cached_rank(const entry& candidate, const cache_hints& hints) const {
+    const auto life = candidate.target.incarnation;
+    if (this->memory.ran_on(hints.conversation, candidate.target.id, life))
+        return 2;
+    return this->memory.ran_on(hints.key, candidate.target.id, life) ? 1 : 0;
+}
+
 std::optional<helpers::target_id>
-target_ledger::try_reserve(std::span<const helpers::target_id> candidates,
-                           std::uint32_t cost_tokens, helpers::time_point now) {
-    this->drop_old_reports(now);
+target_ledger::choose(std::span<const helpers::target_id> candidates, std::uint32_t cost_tokens,
+                      const cache_hints& hints) const {
+    int best_possible = this->memory.knows(hints.key) ? 1 : 0;
+    if (this->memory.knows(hints.conversation))
+        best_possible = 2;
+    const entry* best = nullptr;
+    int best_rank = -1;
     for (const auto id : candidates) {
         const auto* candidate = this->find(id);
         if (candidate == nullptr || !this->admits(*candidate, cost_tokens))
             continue;
-        this->add_existing(id, cost_tokens, now);
-        return id;
+        if (best_possible == 0)
+            return id;
+        const auto rank = this->cached_rank(*candidate, hints);
+        const bool lighter = rank > 0 && rank == best_rank && candidate->tokens() < best->tokens();
+        if (rank <= best_rank && !lighter)
+            continue;
+        best = candidate;
+        best_rank = rank;
     }
-    return std::nullopt;
+    return best == nullptr ? std::nullopt : std::optional(best->target.id);
+}
+
+std::optional<helpers::target_id>
+target_ledger::try_reserve(std::span<const helpers::target_id> candidates,
+                           std::uint32_t cost_tokens, helpers::time_point now,
+                           const cache_hints& hints) {
+    this->drop_old_reports(now);
+    const auto chosen = this->choose(candidates, cost_tokens, hints);
+    if (!chosen)
+        return std::nullopt;
+    this->add_existing(*chosen, cost_tokens, now);
+    const auto life = this->find(*chosen)->target.incarnation;
+    if (hints.key.value != 0)
+        this->memory.note(hints.key, *chosen, life);
+    if (hints.conversation.value != 0)
+        this->memory.note(hints.conversation, *chosen, life);
+    return chosen;
 }
 
 void target_ledger::add_existing(helpers::target_id target, std::uint32_t cost_tokens,
--- a/src/admission/target_ledger.hpp
+++ b/src/admission/target_ledger.hpp
@@ -15,6 +15,7 @@
 #pragma once
 
 #include "admission/first_byte_baseline.hpp"
+#include "admission/key_memory.hpp"
 #include "admission/reservation.hpp"
 #include "helpers/ids.hpp"
 #include "helpers/time.hpp"
@@ -50,6 +51,14 @@
     std::uint32_t warm_targets = 0;
 };
 
+// What a request may find cached. Value 0: unknown.
+struct cache_hints {
+    // The placement key, which all chats with the same long beginning share.
+    helpers::chat_key key;
+    // The chat itself.
+    helpers::chat_key conversation;
+};
+
 class target_ledger {
 public:
     static constexpr std::uint32_t unlimited_slots = std::numeric_limits<std::uint32_t>::max();
@@ -66,11 +75,14 @@
     void set_load_multiple(double multiple) { this->load_multiple = multiple; }
     void set_outside_load(outside_load load) { this->outside = load; }
 
-    // Reserves one slot and the cost on the first candidate that has room. Nothing: none has room
-    // now; one may after the next finish(), report or change of the list.
+    // Reserves one slot and the cost on the first candidate that has room, preferring those where
+    // the conversation ran lately, then those where others with the same key did. Without hints the
+    // order alone counts. Nothing: none has room now; one may after the next finish(), report or
+    // change of the list.
     std::optional<helpers::target_id> try_reserve(std::span<const helpers::target_id> candidates,
                                                   std::uint32_t cost_tokens,
-                                                  helpers::time_point now);
+                                                  helpers::time_point now,
+                                                  const cache_hints& hints = {});
 
     // Counts work that runs already, as a follower registers it again. Never refused.
     void add_existing(helpers::target_id target, std::uint32_t cost_tokens,
@@ -170,6 +182,10 @@
     }
 
     void count(const entry& counted, std::int64_t sign);
+    std::optional<helpers::target_id> choose(std::span<const helpers::target_id> candidates,
+                                             std::uint32_t cost_tokens,
+                                             const cache_hints& hints) const;
+    int cached_rank(const entry& candidate, const cache_hints& hints) const;
     const entry* find(helpers::target_id target) const;
     entry* find(helpers::target_id target);
     bool admits(const entry& candidate, std::uint32_t cost_tokens) const;
@@ -191,6 +207,7 @@
     sums totals;
     helpers::time_point next_report_sweep;
     std::unordered_map<helpers::target_id, entry> entries;
+    key_memory memory;
 };
 
 } // namespace samphirespool::admission
--- /dev/null
+++ b/tests/admission/test_key_memory.cpp
@@ -0,0 +1,64 @@
+// Tests of the hints where keys ran, alone and as the ledger uses them.
+#include "admission/target_ledger.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+
+using namespace samphirespool;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr helpers::chat_key document{10};
+constexpr helpers::chat_key chat{11};
+constexpr helpers::chat_key other_chat{12};
+constexpr std::array<helpers::target_id, 3> candidates{{{1}, {2}, {3}}};
+constexpr helpers::time_point now{1h};
+
+} // namespace
+
+TEST_CASE("the memory of keys is bounded in keys and in targets of each") {
+    admission::key_memory memory(2);
+    memory.note({1}, {1}, 1);
+    memory.note({2}, {1}, 1);
+    memory.note({1}, {2}, 1);
+    memory.note({3}, {1}, 1);
+    CHECK(memory.size() == 2);
+    CHECK_FALSE(memory.knows({2}));
+    CHECK(memory.ran_on({1}, {1}, 1));
+    CHECK(memory.ran_on({1}, {2}, 1));
+    CHECK_FALSE(memory.ran_on({1}, {2}, 2));
+    for (std::uint64_t target = 3; target < 3 + admission::key_memory::targets_per_key; ++target)
+        memory.note({1}, {target}, 1);
+    CHECK_FALSE(memory.ran_on({1}, {1}, 1));
+    CHECK(memory.ran_on({1}, {3}, 1));
+}
+
+TEST_CASE("the ledger prefers where the chat ran, then where its document did") {
+    admission::target_ledger ledger(100);
+    std::vector<admission::ledger_target> listed;
+    listed.reserve(candidates.size());
+    for (const auto target : candidates)
+        listed.push_back({target, 1, 64, 64, true});
+    ledger.set_targets(listed, now);
+    const auto reserve = [&](std::span<const helpers::target_id> among, helpers::chat_key who) {
+        return ledger.try_reserve(among, 1000, now, {document, who}).value();
+    };
+    CHECK(reserve(candidates, chat) == candidates[0]);
+    // The chat's second choice keeps it once it ran there, also when the first has room again.
+    CHECK(reserve(std::span(candidates).subspan(1, 1), other_chat) == candidates[1]);
+    CHECK(reserve(candidates, other_chat) == candidates[1]);
+    CHECK(reserve(candidates, chat) == candidates[0]);
+    // A new chat of the document goes to the lighter of the two that hold it, never to the third.
+    ledger.finish(candidates[0], 1000, admission::release::result::success, 1ms, now);
+    CHECK(reserve(candidates, {13}) == candidates[0]);
+    // A new life of the target holds nothing.
+    listed[1].incarnation = 2;
+    ledger.set_targets(listed, now);
+    CHECK(reserve(candidates, other_chat) == candidates[0]);
+    // The bound goes before the hint.
+    listed[0].eligible = false;
+    ledger.set_targets(listed, now);
+    CHECK(reserve(candidates, chat) == candidates[1]);
+}
