--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -96,26 +96,30 @@
 fair_queue::pop_from(std::size_t priority,
                      const std::function<bool(helpers::organisation_id)>& may_run) {
     auto& of = this->levels[priority];
-    const auto next = std::ranges::find_if(
-        of.active, [&](const turn& waiting) { return !may_run || may_run(waiting.organisation); });
-    if (next == of.active.end())
-        return std::nullopt;
-    const auto chosen = *next;
-    of.virtual_time = std::max(of.virtual_time, chosen.start);
-    const std::vector<turn> held_back(of.active.begin(), next);
-    // Who is held back by a limit saves nothing up.
-    for (const auto& each : held_back)
-        this->restart_turn(of, each, of.virtual_time);
-    const auto& queue = of.queues.at(chosen.organisation);
-    const auto cost = queue.waiting.front().cost_tokens * token_time;
-    this->restart_turn(of, chosen, of.virtual_time + cost / this->weight_of(chosen.organisation));
-    return this->remove({priority, of.queues.at(chosen.organisation).waiting.begin()});
+    std::vector<turn> held_back;
+    for (const auto next : of.active) {
+        if (may_run && !may_run(next.organisation)) {
+            held_back.push_back(next);
+            continue;
+        }
+        auto& queue = of.queues.at(next.organisation);
+        of.virtual_time = std::max(of.virtual_time, next.start);
+        const auto cost = queue.waiting.front().cost_tokens * token_time;
+        const auto end = of.virtual_time + cost / this->weight_of(next.organisation);
+        this->move_turn(of, next, end);
+        // Who was held back by a limit saves nothing up: the turn is over for it as well.
+        for (const auto& passed : held_back)
+            this->move_turn(of, passed, end);
+        return this->remove({priority, queue.waiting.begin()});
+    }
+    return std::nullopt;
 }
 
-void fair_queue::restart_turn(level& of, const turn& old, std::uint64_t start) {
-    of.active.erase(old);
-    of.queues.at(old.organisation).start = start;
-    of.active.insert({start, old.order, old.organisation});
+void fair_queue::move_turn(level& of, const turn& from, std::uint64_t start) {
+    of.active.erase(from);
+    auto& queue = of.queues.at(from.organisation);
+    queue.start = std::max(queue.start, start);
+    of.active.insert({queue.start, queue.order, from.organisation});
 }
 
 std::optional<queued_request>
