Claim keyed non-idempotent requests through the store

Cause: the composed router still kept claims in its own memory, so the same key through two routers could run twice.

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -27,6 +27,13 @@
     return record;
 }
 
+claims::claim_settings claim_settings_of(const settings::router_settings& settings,
+                                         const router_identity& identity) {
+    claims::claim_settings result;
+    result.writer = settings.name + "/" + std::to_string(identity.life.value);
+    return result;
+}
+
 } // namespace
 
 struct router::fleet_part {
@@ -39,7 +46,10 @@
           configuration(owner.loop, owner.random, owner.events, owner.store, link, directory, {}),
           view(owner.loop, owner.random, configuration),
           shares(owner.loop, owner.transport, members, view, owner.target_client),
-          claims(owner.loop.time()),
+          claim_link(owner.transport),
+          journals(owner.store),
+          claims(owner.loop, directory, claim_link, journals,
+                 claim_settings_of(owner.settings, owner.identity)),
           path(owner.loop, owner.settings, owner.identity, view, shares.reservations(), claims,
                owner.target_client, owner.events),
           limits(owner.loop, owner.transport, members, view, path.waiting()),
@@ -54,7 +64,9 @@
     store::configuration_store configuration;
     fleet_view view;
     share_service shares;
-    local_claims claims;
+    wire::claims_link claim_link;
+    store::journal_store journals;
+    claims::claim_manager claims;
     request_path path;
     limit_service limits;
     fleet_status status;
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -2,16 +2,18 @@
 #pragma once
 
 #include "admin/admin_front.hpp"
+#include "claims/claim_manager.hpp"
 #include "router/daemon.hpp"
 #include "router/fleet_status.hpp"
 #include "router/limit_service.hpp"
-#include "router/local_claims.hpp"
 #include "router/member_directory.hpp"
 #include "router/request_path.hpp"
 #include "router/share_service.hpp"
 #include "store/configuration_store.hpp"
 #include "store/http_object_store.hpp"
+#include "store/journal_store.hpp"
 #include "store/monitored_store.hpp"
+#include "wire/claims_link.hpp"
 #include "wire/configuration_link.hpp"
 #include "wire/tcp_transport.hpp"
 
