End a sponsored reservation also where its router had become a member; drop unanswered requests visibly

Cause: a router that does not know yet that it is a member sends the end of a sponsored reservation to a sponsor that treated it as a member's: the owner's slot leaked until the deadline. And a request dropped without an answer got a 500 without a request id, which looked like a crossed answer. Change: share_sponsor::on_finish says whether it knew the reservation; otherwise the owner ends it. A dropped request gets no answer, its connection closes.

--- a/src/http/response_stream.cpp
+++ b/src/http/response_stream.cpp
@@ -20,7 +20,6 @@
 constexpr auto recheck_interval = std::chrono::milliseconds(250);
 // nginx's status for a caller that departed; no caller sees it.
 constexpr int status_departed = 499;
-constexpr int status_internal = 500;
 
 struct status_text {
     int status;
@@ -197,9 +196,11 @@
     if (this->final_state != H2O_SEND_STATE_IN_PROGRESS)
         return;
     this->request.http1_is_persistent = 0;
-    if (!this->has_begun)
-        this->begin(status_internal, {}, 0);
-    this->end(H2O_SEND_STATE_ERROR);
+    if (this->has_begun)
+        this->end(H2O_SEND_STATE_ERROR);
+    else
+        // No answer at all; the watch sees the end and closes.
+        shutdown(h2o_socket_get_fd(this->socket()), SHUT_RDWR);
 }
 
 void response_stream::end(h2o_send_state_t state) {
--- a/src/ownership/share_manager_messages.cpp
+++ b/src/ownership/share_manager_messages.cpp
@@ -92,9 +92,10 @@
     }
     for (const auto& item : received.finishes) {
         auto* state = this->own_shard(item.shard);
-        if (item.sponsored)
-            this->sponsor.on_finish(from, item);
-        else if (state != nullptr && state->owner->open_now())
+        // The roster here may have had the router as a member before that router knew.
+        if (item.sponsored && this->sponsor.on_finish(from, item))
+            continue;
+        if (state != nullptr && state->owner->open_now())
             state->owner->on_finish(from, item);
         else
             this->book.drop(item.shard, from, item.number);
--- a/src/ownership/share_sponsor.cpp
+++ b/src/ownership/share_sponsor.cpp
@@ -41,10 +41,12 @@
     this->mailbox.to(key.first).grants.push_back(grant);
 }
 
-void share_sponsor::on_finish(helpers::router_id from, const finish_item& item) {
+bool share_sponsor::on_finish(helpers::router_id from, const finish_item& item) {
     const auto ended = this->entries.extract(holder{from, item.number});
-    if (!ended.empty())
-        this->starter.finish(ended.mapped().number, item.how, item.first_byte);
+    if (ended.empty())
+        return false;
+    this->starter.finish(ended.mapped().number, item.how, item.first_byte);
+    return true;
 }
 
 void share_sponsor::on_over(helpers::router_id id) {
--- a/src/ownership/share_sponsor.hpp
+++ b/src/ownership/share_sponsor.hpp
@@ -25,7 +25,8 @@
         : starter(starter), mailbox(mailbox) {}
 
     void on_reserve(helpers::router_id from, const reserve_item& item, helpers::time_point now);
-    void on_finish(helpers::router_id from, const finish_item& item);
+    // False if no such reservation was made here.
+    bool on_finish(helpers::router_id from, const finish_item& item);
     // The process of a router is over, and the requests that it ran with it.
     void on_over(helpers::router_id id);
     // The reservation ended without word from its holder.
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -89,6 +89,20 @@
     CHECK(answer.body == "part");
 }
 
+TEST_CASE("http: a request that the server drops unanswered gets no answer") {
+    http::event_loop loop;
+    auto server =
+        tests::serve(loop, [](std::unique_ptr<http::exchange> incoming) { incoming.reset(); });
+    http::h2o_client client(loop, {});
+    recorded_answer answer;
+    const auto call = client.start(request_to(*server, "/"), answer);
+    run_until(loop, [&] { return answer.ended(); });
+    REQUIRE(answer.failure);
+    CHECK(answer.status == 0);
+    run_until(loop, [&] { return server->connections() == 0; });
+    CHECK(server->connections() == 0);
+}
+
 TEST_CASE("http: the server learns that the caller departed, before and during the answer") {
     for (const bool begun : {false, true}) {
         http::event_loop loop;
