Resume a broken stream on another target when its own does not give the rest

Change: the request's table has phases for reserving and connecting for the rest; the same target is asked once, then others, within max_resumes. The compiler checks that an answer of which the caller has a part is never started anew. A resumption without a target breaks the stream at once; before, the reservation's refusal was ignored once an answer had begun. Ruled out: a fault of the stand-in alone, since a killed engine leads to the same end. Conclusion: an engine's death no longer has to reach the caller.

--- a/src/request/request_phase.hpp
+++ b/src/request/request_phase.hpp
@@ -21,7 +21,10 @@
     connecting_again,
     // Part of the answer has reached the caller.
     answering,
+    // The rest of the answer was asked for, on the same target or on another one.
     resuming,
+    reserving_rest,
+    connecting_rest,
     // Outcomes.
     answered,
     not_run,
@@ -41,6 +44,7 @@
     answer_begun,
     stream_broken,
     stream_resumed,
+    resume_elsewhere,
     completed,
     // No further attempt: deadline, caller left, refused, or out of attempts.
     given_up,
@@ -89,7 +93,13 @@
     transition{phase::answering, step::completed, phase::answered},
     transition{phase::answering, step::given_up, phase::unknown},
     transition{phase::resuming, step::stream_resumed, phase::answering},
+    transition{phase::resuming, step::resume_elsewhere, phase::reserving_rest},
     transition{phase::resuming, step::given_up, phase::unknown},
+    transition{phase::reserving_rest, step::granted, phase::connecting_rest},
+    transition{phase::reserving_rest, step::given_up, phase::unknown},
+    transition{phase::connecting_rest, step::attempt_unsent, phase::reserving_rest},
+    transition{phase::connecting_rest, step::bytes_handed, phase::resuming},
+    transition{phase::connecting_rest, step::given_up, phase::unknown},
 };
 
 constexpr bool not_run_is_true() {
@@ -115,6 +125,19 @@
     return true;
 }
 
+// Once the caller has a part of the answer, no step leads back to where the answer would start
+// anew.
+constexpr bool an_answer_never_starts_twice() {
+    constexpr auto has_part = [](phase at) {
+        return at == phase::answering || at == phase::resuming || at == phase::reserving_rest ||
+               at == phase::connecting_rest;
+    };
+    for (const auto& one : transitions)
+        if (has_part(one.from) && !has_part(one.to) && !is_outcome(one.to))
+            return false;
+    return true;
+}
+
 constexpr bool outcomes_are_final() {
     for (const auto& one : transitions)
         if (is_outcome(one.from))
@@ -147,6 +170,7 @@
 static_assert(not_run_is_true());
 static_assert(sending_is_never_forgotten());
 static_assert(only_bytes_handed_sends());
+static_assert(an_answer_never_starts_twice());
 static_assert(outcomes_are_final());
 static_assert(every_phase_can_end());
 static_assert(is_deterministic());
--- a/src/request/request_state.cpp
+++ b/src/request/request_state.cpp
@@ -32,9 +32,13 @@
 }
 
 bool request_state::holds_grant() const {
+    return this->is_connecting() || this->current == phase::sent ||
+           this->current == phase::answering || this->current == phase::resuming;
+}
+
+bool request_state::is_connecting() const {
     return this->current == phase::connecting || this->current == phase::connecting_again ||
-           this->current == phase::sent || this->current == phase::answering ||
-           this->current == phase::resuming;
+           this->current == phase::connecting_rest;
 }
 
 bool request_state::may_use(helpers::target_id target) const {
@@ -93,7 +97,7 @@
 }
 
 decision request_state::connected(helpers::time_point now) {
-    if (this->current != phase::connecting && this->current != phase::connecting_again)
+    if (!this->is_connecting())
         return {};
     if (!this->in_time(now))
         return this->give_up(error_kind::deadline_exceeded);
@@ -104,13 +108,17 @@
         this->targets_tried.pop_back();
         return this->try_elsewhere(step::attempt_unsent);
     }
+    if (this->current == phase::connecting_rest) {
+        ++this->resumes;
+        this->resumed_here = true;
+    }
     this->advance(step::bytes_handed);
     ++this->sends;
-    return {.what = action::send};
+    return {.what = action::send, .resume_offset = this->bytes_passed};
 }
 
 decision request_state::connect_failed(helpers::time_point now) {
-    if (this->current != phase::connecting && this->current != phase::connecting_again)
+    if (!this->is_connecting())
         return {};
     if (!this->in_time(now))
         return this->give_up(error_kind::deadline_exceeded);
@@ -149,18 +157,28 @@
 }
 
 decision request_state::stream_broken(helpers::time_point now) {
-    if (this->current == phase::resuming)
-        return this->give_up(error_kind::answer_truncated);
-    if (this->current != phase::answering)
+    if (this->current == phase::connecting_rest)
+        return this->connect_failed(now);
+    const bool resuming = this->current == phase::resuming;
+    if (!resuming && this->current != phase::answering)
         return {};
     if (!this->properties.resumable || !this->in_time(now) ||
         this->resumes >= this->properties.max_resumes)
         return this->give_up(error_kind::answer_truncated);
+    if (!resuming)
+        this->advance(step::stream_broken);
+    if (resuming || this->resumed_here)
+        return this->resume_elsewhere();
     ++this->resumes;
-    this->advance(step::stream_broken);
+    this->resumed_here = true;
     return {.what = action::resume, .resume_offset = this->bytes_passed};
 }
 
+decision request_state::resume_elsewhere() {
+    this->resumed_here = false;
+    return this->try_elsewhere(step::resume_elsewhere);
+}
+
 decision request_state::resumed() {
     this->advance(step::stream_resumed);
     return {};
--- a/src/request/request_state.hpp
+++ b/src/request/request_state.hpp
@@ -33,7 +33,8 @@
     // Attempts that sent something, and attempts in all.
     std::uint32_t max_sends = 3;
     std::uint32_t max_attempts = 8;
-    std::uint32_t max_resumes = 2;
+    // Times that the rest of a broken stream is asked for.
+    std::uint32_t max_resumes = 4;
 };
 
 enum class action : std::uint8_t {
@@ -90,6 +91,9 @@
 
     // Bytes of the answer were passed to the caller.
     decision passed(std::uint64_t bytes);
+
+    // The stream broke, or its rest could not be had: the same target is asked once for the rest,
+    // then others.
     decision stream_broken(helpers::time_point now);
 
     // The resumed stream continues.
@@ -117,7 +121,9 @@
     bool advance(step by);
     bool holds_grant() const;
     bool in_time(helpers::time_point now) const { return now < this->properties.deadline; }
+    bool is_connecting() const;
     decision try_elsewhere(step by);
+    decision resume_elsewhere();
     decision finish(step by, kernel::error_kind kind);
 
     request_traits properties;
@@ -127,6 +133,8 @@
     std::vector<helpers::target_id> targets_tried;
     std::uint32_t sends = 0;
     std::uint32_t resumes = 0;
+    // Whether the target in use was asked for the rest already.
+    bool resumed_here = false;
     std::uint64_t bytes_passed = 0;
     helpers::time_point send_before;
     std::optional<helpers::time_point> claim_valid_until;
--- a/src/router/routed_request.cpp
+++ b/src/router/routed_request.cpp
@@ -363,9 +363,10 @@
     this->context.reservations.finish({ended->given.id, how, ended->first_byte});
 }
 
-// An answer that has begun runs to its end.
+// A stream that runs goes on to its end; one whose rest nobody gives is broken off.
 void routed_request::give_up(kernel::error reason) {
-    if (this->has_ended || this->relay.begun())
+    const auto at = this->state.at();
+    if (this->has_ended || at == request::phase::answering || at == request::phase::resuming)
         return;
     this->reason_detail = std::move(reason.detail);
     this->carry_out(this->state.give_up(reason.kind), release_result::cancelled);
