--- a/scripts/fleetlib/fleet.py
+++ b/scripts/fleetlib/fleet.py
@@ -135,13 +135,13 @@
     def set_store_fault(self, mode, **more):
         call(self.platform_port, "PUT", "/control/faults", dict(more, mode=mode))
 
-    def make_router(self, data_centre):
+    def make_router(self, data_centre, region=None):
         self.made_routers += 1
         name = f"router-{self.made_routers}"
         ports = (free_port(), free_port(), free_port())
         seeds = [f"127.0.0.1:{r.peer_port}" for r in self.routers][:5]
         settings = {
-            "name": name, "data_centre": data_centre, "region": self.region,
+            "name": name, "data_centre": data_centre, "region": region or self.region,
             "caller_listen": f"127.0.0.1:{ports[0]}", "admin_listen": f"127.0.0.1:{ports[1]}",
             "peer_listen": f"127.0.0.1:{ports[2]}", "store": f"127.0.0.1:{self.platform_port}",
             "fleet_keys": [FLEET_KEY], "seeds": seeds, "shutdown_grace": "30s",
--- a/scripts/soaklib/logs.py
+++ b/scripts/soaklib/logs.py
@@ -43,6 +43,6 @@
     found = []
     for path in log_files(folder):
         with open(path, encoding="utf-8", errors="replace") as file:
-            found += [line.strip() for line in file if request in line]
+            found += [line.strip() for line in file if f'"request":"{request}"' in line]
     found.sort(key=lambda line: line[line.find('"hybrid"'):])
     return found[:most]
