--- a/scripts/soaklib/checks.py
+++ b/scripts/soaklib/checks.py
@@ -37,6 +37,15 @@
         self.violations.append((t, text, related))
 
 
+def is_leaving(trace, sample):
+    names = {"data-centre": sample.data_centre, "vm": sample.vm}
+    state = None
+    for mark in trace.of("mark"):
+        if mark.t <= sample.t and names.get(mark.scope) == mark.name:
+            state = mark.state
+    return state == "leaving"
+
+
 def check_load_skew(trace, multiple):
     verdict = Verdict("no engine carries more than a set multiple of the mean load")
     rounds = defaultdict(list)
@@ -46,7 +55,8 @@
     before = {}
     for (service, _), samples in sorted(rounds.items(), key=lambda item: item[1][0].t):
         t = max(s.t for s in samples)
-        warm = [s for s in samples if not s.cold]
+        # What takes no new work would lower the mean of those that do.
+        warm = [s for s in samples if not s.cold and not is_leaving(trace, s)]
         mean = (sum(s.in_flight for s in warm) + 1) / len(warm) if warm else 0
         recent = totals[service] = [x for x in totals[service] if x[0] >= t - MEAN_WINDOW_SECONDS]
         recent.append((t, mean))
