--- a/scripts/fleetlib/fleet.py
+++ b/scripts/fleetlib/fleet.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import os
+import random
 import socket
 import time
 
@@ -21,10 +22,31 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
+def read_ephemeral_start():
+    try:
+        with open("/proc/sys/net/ipv4/ip_local_port_range", encoding="ascii") as file:
+            return int(file.read().split()[0])
+    except (OSError, ValueError):
+        return 32768
+
+
+# Below the ports that the system gives to outgoing connections, which could take one between the
+# choice and the start of a process.
+FIRST_PORT = 10000
+port_candidates = list(range(FIRST_PORT, read_ephemeral_start()))
+random.SystemRandom().shuffle(port_candidates)
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port that nothing listens on; never the same one twice in a run."""
+    while True:
+        port = port_candidates.pop()
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 class Target:
