Ask for the rest of a stream only if the request is idempotent

Change: neither the same nor another target is asked for the rest of a non-idempotent one; the property counts requests for the rest on their own, at most max_resumes, none for these. Conclusion: at most one send for a non-idempotent request, over all transitions.

--- a/src/request/request_state.cpp
+++ b/src/request/request_state.cpp
@@ -111,9 +111,10 @@
     if (this->current == phase::connecting_rest) {
         ++this->resumes;
         this->resumed_here = true;
+    } else {
+        ++this->sends;
     }
     this->advance(step::bytes_handed);
-    ++this->sends;
     return {.what = action::send, .resume_offset = this->bytes_passed};
 }
 
@@ -162,8 +163,10 @@
     const bool resuming = this->current == phase::resuming;
     if (!resuming && this->current != phase::answering)
         return {};
-    if (!this->properties.resumable || !this->in_time(now) ||
-        this->resumes >= this->properties.max_resumes)
+    // Asking for the rest may run the request again, which only an idempotent one bears.
+    const bool allowed = this->properties.resumable && this->properties.idempotent &&
+                         this->in_time(now) && this->resumes < this->properties.max_resumes;
+    if (!allowed)
         return this->give_up(error_kind::answer_truncated);
     if (!resuming)
         this->advance(step::stream_broken);
--- a/tests/replay/test_decision_properties.cpp
+++ b/tests/replay/test_decision_properties.cpp
@@ -204,13 +204,17 @@
     void end() {
         this->check(this->state.give_up(kernel::error_kind::deadline_exceeded));
         RC_ASSERT(this->outcomes == 1);
-        RC_ASSERT(this->state.traits().idempotent || this->sends <= 1);
+        RC_ASSERT(this->state.traits().idempotent || this->sends + this->rests <= 1);
         RC_ASSERT(this->sends <= 3);
+        RC_ASSERT(this->rests <= this->state.traits().max_resumes);
     }
 
 private:
     void check(const request::decision& made) {
-        this->sends += made.what == request::action::send ? 1 : 0;
+        const bool asks_for_rest =
+            made.what == request::action::resume || this->state.at() == request::phase::resuming;
+        if (made.what == request::action::send || made.what == request::action::resume)
+            ++(asks_for_rest ? this->rests : this->sends);
         if (made.what != request::action::finish)
             return;
         ++this->outcomes;
@@ -283,7 +287,9 @@
     request::request_state state;
     helpers::time_point now{};
     int outcomes = 0;
-    int sends = 0;
+    std::uint32_t sends = 0;
+    // Times that the rest of a broken stream was asked for.
+    std::uint32_t rests = 0;
     bool passed = false;
 };
 
