--- a/scripts/soaklib/checks.py
+++ b/scripts/soaklib/checks.py
@@ -16,6 +16,7 @@
 MEAN_WINDOW_SECONDS = 3.0
 # A target that turns cold without warning shows it only in its answers.
 DETECT_COLD_SECONDS = 10.0
+BELIEF_SECONDS = 1.5
 # From the kill of an engine until its callers' streams end.
 CRASH_SECONDS = 2.0
 # Time for which a router that was paused or restarted may lag behind.
@@ -46,6 +47,15 @@
     return state == "leaving"
 
 
+def beliefs(trace, t):
+    """What owners believed of their targets last before the time."""
+    latest = {}
+    for seen in trace.of("owner"):
+        if t - BELIEF_SECONDS <= seen.t <= t:
+            latest[seen.name] = seen
+    return latest.values()
+
+
 def check_load_skew(trace, multiple):
     verdict = Verdict("no engine carries more than a set multiple of the mean load")
     rounds = defaultdict(list)
@@ -67,7 +77,7 @@
                 verdict.exercised += 1
                 if sample.in_flight > bound and sample.in_flight > earlier.in_flight:
                     text = f"{sample.name} carries {sample.in_flight}, bound {bound}"
-                    verdict.violate(t, text, *samples)
+                    verdict.violate(t, text, *samples, *beliefs(trace, t))
         for sample in samples:
             before[(sample.name, sample.life)] = sample
     return verdict
--- a/scripts/soaklib/trace.py
+++ b/scripts/soaklib/trace.py
@@ -15,6 +15,7 @@
 fault       name, on, t (begin), end
 shutdown    router, life, t (asked), ended, code
 event       name, process, request, fields: a line of the merged logs; t is the hybrid time
+owner       router, name, warm, capacity, in_flight, eligible: a target as its owner sees it
 executions  service, life, counts: runs by idempotency key, as the stand-in counted them
 """
 
--- a/scripts/soaklib/watcher.py
+++ b/scripts/soaklib/watcher.py
@@ -8,6 +8,7 @@
 
 ROUND_SECONDS = 0.1
 ROUTER_SECONDS = 0.25
+OWNER_SECONDS = 0.5
 
 
 class Watcher:
@@ -22,6 +23,7 @@
             for step, pause in (
                 (self.sample_targets, ROUND_SECONDS),
                 (self.sample_routers, ROUTER_SECONDS),
+                (self.sample_owners, OWNER_SECONDS),
                 (self.balancer.refresh, ROUTER_SECONDS),
             )
         ]
@@ -79,3 +81,18 @@
                 "version", time.monotonic(), router=router.name, life=life,
                 version=status["configuration_version"] or 0, ready=status["ready"],
             )
+
+    def sample_owners(self):
+        """What the owners believe of their targets: to explain violations, never to judge them."""
+        for router in list(self.fleet.routers):
+            if not router.process.running() or router.process.paused:
+                continue
+            view = router.admin_json("/admin/v1/targets", timeout=1) or {"targets": []}
+            for target in view["targets"]:
+                if target["owner"] != router.name:
+                    continue
+                self.trace.add(
+                    "owner", time.monotonic(), router=router.name, name=target["name"],
+                    warm=target["warm"], capacity=target["capacity"],
+                    in_flight=target["in_flight"], eligible=target["eligible"],
+                )
