--- a/scripts/capacitylib/model.py
+++ b/scripts/capacitylib/model.py
@@ -5,29 +5,35 @@
 KILO = 1000.0
 MEGA = 1000.0 * 1000.0
 
-# Variables of a size. Rates are those of the whole fleet; changes_per_second over the day's mean.
+# Variables of a size. Rates are those of the whole fleet. Shards are those of each service in each
+# region, as docs/CAPACITY.md recommends them for the size.
 SIZES = {
     "Kandy": {
         "routers": 8, "targets": 16, "organisations": 10, "data_centres": 4, "regions": 1,
-        "requests_per_second": 18, "changes_per_second": 0.001,
+        "services": 2, "shards": 1, "requests_per_second": 18,
     },
     "Hanbit": {
         "routers": 8, "targets": 12, "organisations": 10, "data_centres": 3, "regions": 1,
-        "requests_per_second": 14, "changes_per_second": 0.001,
+        "services": 2, "shards": 1, "requests_per_second": 14,
     },
     "design": {
         "routers": 330, "targets": 4300, "organisations": 36000, "data_centres": 16, "regions": 6,
-        "requests_per_second": 4800, "changes_per_second": 8300 / 86400.0,
+        "services": 6, "shards": 4, "requests_per_second": 4800,
     },
 }
 
 
 def with_derived(size):
-    """Adds what a single router sees."""
+    """Adds what a single router, region or shard sees."""
     result = dict(size)
+    regions = size["regions"]
+    region_shards = size["services"] * size["shards"]
     result["requests_per_router"] = size["requests_per_second"] / size["routers"]
-    result["region_routers"] = size["routers"] / size["regions"]
-    result["region_targets"] = size["targets"] / size["regions"]
+    result["region_routers"] = size["routers"] / regions
+    result["region_targets"] = size["targets"] / regions
+    result["region_shards"] = region_shards
+    result["shard_requests"] = size["requests_per_second"] / regions / region_shards
+    result["shard_targets"] = size["targets"] / regions / region_shards
     return result
 
 
@@ -67,19 +73,19 @@
 
 
 ROUTER_CPU = Row(
-    "entry router", "processor time for control", "% of a core", 0.01,
-    [fleet("idle_cpu", "routers")],
-    "probes at constant rate, share leases by owner", "src/membership, src/ownership",
+    "entry router", "processor time without requests, mean", "% of a core", 0.01,
+    [fleet("idle_cpu_mean", "region_routers", "region_shards", "shard_targets")],
+    "probes at constant rate, one promise for each shard", "src/membership, src/ownership",
 )
 ROUTER_CONTROL_OUT = Row(
-    "entry router", "control bytes out", "KB/s", KILO,
-    [fleet("control_bytes_out", "routers", "requests_per_router")],
+    "entry router", "control bytes out, mean", "KB/s", KILO,
+    [fleet("control_bytes_out_mean", "region_routers", "region_shards", "requests_per_router")],
     "probes at constant rate; reservations in proportion to own requests",
     "src/membership, src/ownership",
 )
 ROUTER_CONTROL_IN = Row(
-    "entry router", "control bytes in", "KB/s", KILO,
-    [fleet("control_bytes_in", "routers", "requests_per_router")],
+    "entry router", "control bytes in, mean", "KB/s", KILO,
+    [fleet("control_bytes_in_mean", "region_routers", "region_shards", "requests_per_router")],
     "as for bytes out", "src/membership, src/ownership",
 )
 ROUTER_MEMORY = Row(
@@ -87,37 +93,57 @@
     [fleet("memory", "routers", "targets", "organisations")],
     "configuration, targets and members as values", "src/config, src/placement",
 )
+OWNER_CPU = Row(
+    "share owner", "processor time without requests, busiest", "% of a core", 0.01,
+    [fleet("idle_cpu", "region_routers", "region_shards", "shard_targets")],
+    "reads the load of its shard's targets once a second", "src/router/load_poller.cpp",
+)
+OWNER_CONTROL_OUT = Row(
+    "share owner", "control bytes out, busiest", "KB/s", KILO,
+    [fleet("control_bytes_out", "region_routers", "region_shards", "shard_requests")],
+    "a challenge to each router of the region, grants", "src/ownership/share_owner.cpp",
+)
+OWNER_CONTROL_IN = Row(
+    "share owner", "control bytes in, busiest", "KB/s", KILO,
+    [fleet("control_bytes_in", "region_routers", "region_shards", "shard_requests")],
+    "promises, reservations", "src/ownership/share_owner.cpp",
+)
 STORE_READS = Row(
     "store", "reads, lists and watches", "a second", 1.0,
-    [fleet("store_reads", "routers")],
-    "two relays in each region hold the watch", "src/store",
+    [fleet("store_reads", "routers", "regions")],
+    "two relays in each region hold the watch", "src/store/configuration_relay.cpp",
 )
 STORE_WRITES = Row(
-    "store", "writes", "a second", 1.0,
-    [fleet("store_writes", "routers")],
-    "roster and claims by conditional update", "src/membership, src/claims",
+    "store", "writes without bookings and changes", "a second", 1.0,
+    [fleet("store_writes", "routers", "regions")],
+    "rosters are written when routers come and go", "src/membership/roster_manager.cpp",
 )
 CHANGE_DELAY = Row(
-    "configuration relay", "accepted change in force everywhere", "s", 1.0,
-    [fleet("change_delay", "routers")],
-    "watch by relays, push to the rest", "src/store",
+    "configuration relay", "accepted change in force everywhere, longest", "s", 1.0,
+    [fleet("change_delay", "routers", "organisations")],
+    "watch by relays, push to the rest", "src/store/configuration_peers.cpp",
 )
 ROOT_VALUE = Row(
     "store", "largest value", "KB", KILO,
-    [fleet("largest_value", "organisations")],
-    "organisations in chunks, one root", "src/store",
+    [fleet("largest_value", "region_routers", "organisations")],
+    "organisations in chunks below one root; a roster for each region", "src/config, src/membership",
 )
 
 ROWS = [
-    ROUTER_CPU, ROUTER_CONTROL_OUT, ROUTER_CONTROL_IN, ROUTER_MEMORY,
-    CHANGE_DELAY, STORE_READS, STORE_WRITES, ROOT_VALUE,
+    ROUTER_CPU, ROUTER_CONTROL_OUT, ROUTER_CONTROL_IN, ROUTER_MEMORY, OWNER_CPU,
+    OWNER_CONTROL_OUT, OWNER_CONTROL_IN, CHANGE_DELAY, STORE_READS, STORE_WRITES, ROOT_VALUE,
 ]
 
+CPU_TEXT = "the letter allows 3.4% of a core for control"
+BYTES_TEXT = "the letter allows 22 KB/s for control"
 PROMISES = [
-    Promise(ROUTER_CPU, 3.4, "the letter allows 3.4% of a core for control"),
-    Promise(ROUTER_CONTROL_OUT, 22, "the letter allows 22 KB/s for control"),
-    Promise(ROUTER_CONTROL_IN, 22, "the letter allows 22 KB/s for control"),
+    Promise(ROUTER_CPU, 3.4, CPU_TEXT),
+    Promise(ROUTER_CONTROL_OUT, 22, BYTES_TEXT),
+    Promise(ROUTER_CONTROL_IN, 22, BYTES_TEXT),
     Promise(ROUTER_MEMORY, 256, "the letter allows 256 MB"),
+    Promise(OWNER_CPU, 3.4, CPU_TEXT),
+    Promise(OWNER_CONTROL_OUT, 22, BYTES_TEXT),
+    Promise(OWNER_CONTROL_IN, 22, BYTES_TEXT),
     Promise(CHANGE_DELAY, 4, "the letter asks for 4 s"),
     Promise(STORE_READS, 2000, "the object API handles about two thousand reads a second"),
     Promise(STORE_WRITES, 300, "the object API handles several hundred writes a second"),
@@ -134,7 +160,7 @@
 
 
 PLOTS = [
-    Plot("control-bytes.svg", "Control bytes out of one router", ROUTER_CONTROL_OUT, 22),
+    Plot("control-bytes.svg", "Control bytes out of the busiest router", OWNER_CONTROL_OUT, 22),
     Plot("store-calls.svg", "Reads, lists and watches of the store", STORE_READS, 2000),
     Plot("memory.svg", "Memory of one router", ROUTER_MEMORY, 256),
 ]
--- a/scripts/capacitylib/plots.py
+++ b/scripts/capacitylib/plots.py
@@ -3,7 +3,7 @@
 import os
 import subprocess
 
-from .model import SIZES, with_derived
+from .model import SIZES
 
 STEPS = (1, 2, 4, 8, 16, 32, 64, 128, 330)
 
@@ -44,7 +44,7 @@
         size = dict(design, routers=routers)
         for name in ("targets", "organisations", "requests_per_second"):
             size[name] = design[name] * share
-        line.append((routers, extrapolation.estimate(row, with_derived(size)).value))
+        line.append((routers, extrapolation.estimate(row, size).value))
     return line
 
 
--- a/tests/process/test_capacity.py
+++ b/tests/process/test_capacity.py
@@ -25,14 +25,14 @@
 
 
 def lines(figure, unit, function):
-    """Points over every variable that the model knows."""
+    """Points over every variable that the model knows, each varied on its own."""
     result = []
-    for routers in (3, 6, 12, 24):
-        for more in (1, 2):
-            at = {
-                "routers": routers, "requests_per_router": 10 * more,
-                "targets": 20 * routers * more, "organisations": 100 * more * more,
-            }
+    base = {"routers": 3, "regions": 1, "targets": 60, "organisations": 100,
+            "requests_per_router": 10, "region_routers": 3, "region_shards": 2,
+            "shard_requests": 20, "shard_targets": 30}
+    for name in base:
+        for factor in (1, 2, 4, 8):
+            at = dict(base, **{name: base[name] * factor})
             item = {"bench": "fleet", "figure": figure, "value": function(at), "unit": unit}
             result.append(json.dumps(dict(item, baseline=None, at=at)))
     return result
@@ -40,9 +40,12 @@
 
 def results(**overrides):
     functions = {
-        "idle_cpu": lambda at: 0.001,
-        "control_bytes_out": lambda at: 1000 + 50 * at["requests_per_router"],
-        "control_bytes_in": lambda at: 1000 + 2 * at["routers"],
+        "idle_cpu_mean": lambda at: 0.001,
+        "idle_cpu": lambda at: 0.001 + 0.0001 * at["shard_targets"],
+        "control_bytes_out_mean": lambda at: 1000 + 50 * at["requests_per_router"],
+        "control_bytes_in_mean": lambda at: 1000 + 2 * at["region_routers"],
+        "control_bytes_out": lambda at: 1000 + 50 * at["shard_requests"],
+        "control_bytes_in": lambda at: 1000 + 2 * at["region_routers"],
         "memory": lambda at: 1e7 + 1000 * at["targets"] + 500 * at["organisations"],
         "store_reads": lambda at: 5 + 0.1 * at["routers"],
         "store_writes": lambda at: 0.5,
@@ -104,9 +107,16 @@
 
 def check_verdicts():
     broken = {
-        "idle_cpu": (lambda at: 0.0002 * at["routers"], "processor time"),
-        "control_bytes_out": (lambda at: 100 * at["routers"], "control bytes out"),
-        "control_bytes_in": (lambda at: 100 * at["routers"], "control bytes in"),
+        "idle_cpu_mean": (lambda at: 0.002 * at["region_shards"], "entry router, processor time"),
+        "idle_cpu": (lambda at: 0.002 * at["shard_targets"], "share owner, processor time"),
+        "control_bytes_out_mean": (
+            lambda at: 2000 * at["requests_per_router"], "entry router, control bytes out"
+        ),
+        "control_bytes_in_mean": (
+            lambda at: 500 * at["region_routers"], "entry router, control bytes in"
+        ),
+        "control_bytes_out": (lambda at: 800 * at["shard_requests"], "share owner, control bytes out"),
+        "control_bytes_in": (lambda at: 500 * at["region_routers"], "share owner, control bytes in"),
         "memory": (lambda at: 1e7 + 1e5 * at["targets"], "memory"),
         "store_reads": (lambda at: 10 * at["routers"], "reads"),
         "store_writes": (lambda at: at["routers"], "writes"),
