--- a/bench/path/run.py
+++ b/bench/path/run.py
@@ -67,7 +67,8 @@
         self.engines = []
         for number in range(engines):
             engine = Process(f"{build}/standin-engine", "--name", f"e{number}", "--warm",
-                             "--cache-blocks", "1000000", *engine_options)
+                             "--cache-blocks", "1000000",
+                             "--prefill-tokens-per-second", "1e9", *engine_options)
             stack.callback(engine.stop)
             self.engines.append(engine)
         folder = stack.enter_context(tempfile.TemporaryDirectory())
@@ -159,6 +160,14 @@
         emit("streamed tokens per second on one core", total(routed, "tokens_per_second"), "1/s",
              total(direct, "tokens_per_second"))
         emit("share of the core used for tokens", share, "cores")
+    with contextlib.ExitStack() as stack:
+        fleet = Fleet(build, stack, 4, ["--step-ms", "20", "--tokens-per-second", "50",
+                                        "--full-rate-streams", "100000"])
+        options = ["--concurrency", "300", "--seconds", str(seconds), "--max-tokens", "100",
+                   "--turn-bytes", "0", "--chats", "1000", "--stream"]
+        routed, share = fleet.load(True, *options, tools=3)
+        emit("streamed tokens per second for each core used, one token a write",
+             total(routed, "tokens_per_second") / share, "1/s")
 
 
 def bench_latency(build, seconds):
--- a/standins/engine/engine.cpp
+++ b/standins/engine/engine.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::uint64_t default_max_tokens = 64;
 // A stream that its reader does not take is not generated further.
-constexpr std::size_t max_buffered_bytes = 1024 * 1024;
+constexpr std::size_t max_buffered_bytes = std::size_t{1024} * 1024;
 
 void respond_json(http::exchange& incoming, int status, const json& body,
                   const std::string& request_id = {}) {
@@ -118,7 +118,7 @@
 
 void engine::start(std::unique_ptr<generation> fresh, const std::string& prompt) {
     const auto blocks = block_hashes(prompt);
-    const auto hits = this->cache.use(blocks);
+    const auto hits = this->cache.use(blocks, this->loop.time().now());
     fresh->prompt_hash = prompt_hash(prompt);
     fresh->prompt_tokens = prompt.size() / bytes_per_token;
     fresh->cached_tokens = hits * tokens_per_block;
@@ -278,8 +278,10 @@
     if (query.starts_with("after="))
         std::from_chars(query.data() + 6, query.data() + query.size(), after);
     json events = json::array();
+    const auto latest = this->loop.time().now() - this->options.event_lag;
     for (const auto& each : this->cache.events())
-        if (each.number > after && this->random.fraction() >= this->options.event_gap_share)
+        if (each.number > after && each.at <= latest &&
+            this->random.fraction() >= this->options.event_gap_share)
             events.push_back({{"number", each.number},
                               {"kind", each.added ? "added" : "removed"},
                               {"hash", each.hash}});
--- a/standins/engine/engine.hpp
+++ b/standins/engine/engine.hpp
@@ -30,7 +30,8 @@
     bool starts_cold = true;
     helpers::duration load_lag = std::chrono::milliseconds(500);
     helpers::duration step = std::chrono::milliseconds(20);
-    // Share of cache events that never appear.
+    helpers::duration event_lag = std::chrono::seconds(2);
+    // Share of cache events that a reader does not get.
     double event_gap_share = 0.1;
 };
 
--- a/standins/engine/prefix_cache.cpp
+++ b/standins/engine/prefix_cache.cpp
@@ -22,7 +22,7 @@
     return hashes;
 }
 
-std::size_t prefix_cache::use(const std::vector<std::uint64_t>& blocks) {
+std::size_t prefix_cache::use(const std::vector<std::uint64_t>& blocks, helpers::time_point now) {
     std::size_t hits = 0;
     while (hits < blocks.size() && this->places.contains(blocks[hits]))
         ++hits;
@@ -34,10 +34,10 @@
         }
         this->order.push_front(hash);
         this->places[hash] = this->order.begin();
-        this->record(true, hash);
+        this->record(true, hash, now);
     }
     while (this->order.size() > this->max_blocks) {
-        this->record(false, this->order.back());
+        this->record(false, this->order.back(), now);
         this->places.erase(this->order.back());
         this->order.pop_back();
     }
@@ -49,8 +49,8 @@
     this->places.clear();
 }
 
-void prefix_cache::record(bool added, std::uint64_t hash) {
-    this->history.push_back({++this->last_number, added, hash});
+void prefix_cache::record(bool added, std::uint64_t hash, helpers::time_point now) {
+    this->history.push_back({++this->last_number, added, hash, now});
     if (this->history.size() > max_history)
         this->history.erase(this->history.begin(), this->history.begin() + max_history / 2);
 }
--- a/standins/engine/prefix_cache.hpp
+++ b/standins/engine/prefix_cache.hpp
@@ -1,6 +1,8 @@
 // Prompt prefix cache of limited memory: hashes of prompt blocks, least recently used out first.
 #pragma once
 
+#include "helpers/time.hpp"
+
 #include <cstdint>
 #include <list>
 #include <string_view>
@@ -18,17 +20,18 @@
         std::uint64_t number = 0;
         bool added = false;
         std::uint64_t hash = 0;
+        helpers::time_point at{};
     };
 
     explicit prefix_cache(std::size_t max_blocks) : max_blocks(max_blocks) {}
 
     // Number of leading blocks that are cached; stores the others.
-    std::size_t use(const std::vector<std::uint64_t>& blocks);
+    std::size_t use(const std::vector<std::uint64_t>& blocks, helpers::time_point now);
     void clear();
     const std::vector<event>& events() const { return this->history; }
 
 private:
-    void record(bool added, std::uint64_t hash);
+    void record(bool added, std::uint64_t hash, helpers::time_point now);
 
     std::size_t max_blocks;
     // Most recently used first.
--- a/standins/load/main.cpp
+++ b/standins/load/main.cpp
@@ -125,6 +125,7 @@
 
 std::vector<option> long_options() {
     std::vector<option> result;
+    result.reserve(named_options.size() + 2);
     for (const auto& each : named_options)
         result.push_back({each.name, each.argument, nullptr, 0});
     result.push_back({"help", no_argument, nullptr, 'h'});
--- a/tests/router/small_fleet.hpp
+++ b/tests/router/small_fleet.hpp
@@ -73,7 +73,7 @@
         return made;
     }
 
-    http::client_request chat(bool stream, std::string prompt = "hello") const {
+    http::client_request chat(bool stream, const std::string& prompt = "hello") const {
         return this->request("POST", "/v1/chat/completions",
                              R"({"model":"m","stream":)" + std::string(stream ? "true" : "false") +
                                  R"(,"messages":[{"role":"user","content":")" + prompt + "\"}]}");
