Keep an eighth of each target's slots for organisations without a backlog

Cause: while one organisation surges, it holds every slot; a quiet request waits for the next that frees, anywhere but where its prefix is. Change: requests of an organisation that has more waiting behind them leave the last eighth of a warm target's slots free (none of a cold one's). In the replay all bounded strategies do so.

--- a/bench/placement/replay/contestants.cpp
+++ b/bench/placement/replay/contestants.cpp
@@ -33,6 +33,7 @@
     simulation_options options;
     options.load_multiple = one.bounded ? replayed.load_multiple : no_bound;
     options.remember_keys = one.name == product;
+    options.keep_slots = one.bounded;
     options.make =
         [name = one.strategy](const world& real) -> std::unique_ptr<placement::placement_strategy> {
         if (name == oracle)
--- a/bench/placement/replay/simulation.hpp
+++ b/bench/placement/replay/simulation.hpp
@@ -23,6 +23,8 @@
     bool ask_all = true;
     // Whether owners remember where keys ran.
     bool remember_keys = false;
+    // Whether requests of a backlog leave some slots to other organisations.
+    bool keep_slots = false;
     // Reservations that a router may have waiting at one owner.
     std::size_t waiting_per_router = 1;
 };
@@ -55,7 +57,7 @@
     struct live_request {
         const arrival* what = nullptr;
         request::request_state state;
-        double queued_until = 0;
+        bool from_backlog = false;
         target_place target;
         std::uint32_t attempts = 0;
         double sent_at = 0;
@@ -75,6 +77,7 @@
     void reserve(std::uint64_t number);
     std::optional<helpers::target_id> try_candidates(live_request& asking, std::size_t wanted,
                                                      std::vector<helpers::target_id>& candidates);
+    admission::reservation_hints hints_of(const live_request& asking) const;
     void send(std::uint64_t number, helpers::target_id target);
     void note_admission(const live_request& sent, helpers::target_id target);
     void finish_attempt(std::uint64_t number, std::uint32_t attempt);
--- a/src/admission/target_ledger.cpp
+++ b/src/admission/target_ledger.cpp
@@ -69,17 +69,19 @@
     return this->load_multiple * (this->mean_load() + share);
 }
 
-bool target_ledger::admits(const entry& candidate, std::uint32_t cost_tokens) const {
+bool target_ledger::admits(const entry& candidate, std::uint32_t cost_tokens,
+                           bool from_backlog) const {
     if (!candidate.open())
         return false;
     const auto slots = std::min(candidate.allowance, candidate.slot_limit);
-    if (candidate.requests() >= slots)
+    const auto kept = from_backlog ? slots / kept_slots_divisor : 0;
+    if (candidate.requests() >= slots - kept)
         return false;
     const auto load = candidate.tokens();
     return load == 0 || static_cast<double>(load) < this->bound(cost_tokens);
 }
 
-int target_ledger::cached_rank(const entry& candidate, const cache_hints& hints) const {
+int target_ledger::cached_rank(const entry& candidate, const reservation_hints& hints) const {
     const auto life = candidate.target.incarnation;
     if (this->memory.ran_on(hints.conversation, candidate.target.id, life))
         return 2;
@@ -88,7 +90,7 @@
 
 std::optional<helpers::target_id>
 target_ledger::choose(std::span<const helpers::target_id> candidates, std::uint32_t cost_tokens,
-                      const cache_hints& hints) const {
+                      const reservation_hints& hints) const {
     int best_possible = this->memory.knows(hints.key) ? 1 : 0;
     if (this->memory.knows(hints.conversation))
         best_possible = 2;
@@ -96,7 +98,7 @@
     int best_rank = -1;
     for (const auto id : candidates) {
         const auto* candidate = this->find(id);
-        if (candidate == nullptr || !this->admits(*candidate, cost_tokens))
+        if (candidate == nullptr || !this->admits(*candidate, cost_tokens, hints.from_backlog))
             continue;
         if (best_possible == 0)
             return id;
@@ -113,7 +115,7 @@
 std::optional<helpers::target_id>
 target_ledger::try_reserve(std::span<const helpers::target_id> candidates,
                            std::uint32_t cost_tokens, helpers::time_point now,
-                           const cache_hints& hints) {
+                           const reservation_hints& hints) {
     this->drop_old_reports(now);
     const auto chosen = this->choose(candidates, cost_tokens, hints);
     if (!chosen)
--- a/src/admission/target_ledger.hpp
+++ b/src/admission/target_ledger.hpp
@@ -51,12 +51,15 @@
     std::uint32_t warm_targets = 0;
 };
 
-// What a request may find cached. Value 0: unknown.
-struct cache_hints {
-    // The placement key, which all chats with the same long beginning share.
+// What helps to place a request; none of it is needed.
+struct reservation_hints {
+    // The placement key, which all chats with the same long beginning share. Value 0: unknown.
     helpers::chat_key key;
-    // The chat itself.
+    // The chat itself. Value 0: unknown.
     helpers::chat_key conversation;
+    // The request's organisation has more waiting behind it. Such requests leave the last eighth of
+    // each target's slots to organisations without a backlog.
+    bool from_backlog = false;
 };
 
 class target_ledger {
@@ -82,7 +85,7 @@
     std::optional<helpers::target_id> try_reserve(std::span<const helpers::target_id> candidates,
                                                   std::uint32_t cost_tokens,
                                                   helpers::time_point now,
-                                                  const cache_hints& hints = {});
+                                                  const reservation_hints& hints = {});
 
     // Counts work that runs already, as a follower registers it again. Never refused.
     void add_existing(helpers::target_id target, std::uint32_t cost_tokens,
@@ -125,6 +128,8 @@
     static constexpr helpers::duration ramp_interval = std::chrono::seconds(1);
     static constexpr std::uint32_t ramp_successes = 4;
     static constexpr std::uint32_t failures_until_cold = 3;
+    // Slots kept for organisations without a backlog: one of so many.
+    static constexpr std::uint32_t kept_slots_divisor = 8;
 
 private:
     // Highest count within the last two windows of report_max_age.
@@ -184,11 +189,11 @@
     void count(const entry& counted, std::int64_t sign);
     std::optional<helpers::target_id> choose(std::span<const helpers::target_id> candidates,
                                              std::uint32_t cost_tokens,
-                                             const cache_hints& hints) const;
-    int cached_rank(const entry& candidate, const cache_hints& hints) const;
+                                             const reservation_hints& hints) const;
+    int cached_rank(const entry& candidate, const reservation_hints& hints) const;
     const entry* find(helpers::target_id target) const;
     entry* find(helpers::target_id target);
-    bool admits(const entry& candidate, std::uint32_t cost_tokens) const;
+    bool admits(const entry& candidate, std::uint32_t cost_tokens, bool from_backlog) const;
     double bound(std::uint32_t cost_tokens) const;
     void start(entry& started, helpers::time_point now);
     void make_cold(entry& cooled, helpers::time_point now);
--- a/tests/admission/test_target_ledger.cpp
+++ b/tests/admission/test_target_ledger.cpp
@@ -227,3 +227,21 @@
     CHECK_FALSE(test.ledger.own_load().warm_targets == 0);
     CHECK(test.ledger.own_load().tokens == 7 * cost);
 }
+
+TEST_CASE("requests of a backlog leave the last slots to organisations without one") {
+    ledger_test test(1);
+    admission::reservation_hints backlog;
+    backlog.from_backlog = true;
+    std::uint32_t taken = 0;
+    while (test.ledger.try_reserve({&a, 1}, cost, test.now, backlog))
+        ++taken;
+    CHECK(taken == warm_capacity - warm_capacity / 8);
+    CHECK(test.reserve(a));
+    CHECK(test.reserve(a));
+    CHECK_FALSE(test.reserve(a));
+    // A cold target bears too little to keep any of it free.
+    test.targets.push_back({b, 1, warm_capacity, 2, true});
+    test.apply();
+    CHECK(test.ledger.try_reserve({&b, 1}, cost, test.now, backlog));
+    CHECK(test.ledger.try_reserve({&b, 1}, cost, test.now, backlog));
+}
