--- /dev/null
+++ b/tests/process/test_share_owners.py
@@ -0,0 +1,122 @@
+#!/usr/bin/env python3
+"""Routers are stopped and killed in turn, so that every owner is hit; requests go on through the
+others, and no engine ever bears more than its limit."""
+import concurrent.futures
+import os
+import sys
+import tempfile
+import time
+
+sys.dont_write_bytecode = True
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+sys.path.insert(0, os.path.join(ROOT, "scripts"))
+
+from fleetlib import fleet  # noqa: E402
+from fleetlib.http_call import call, get_json  # noqa: E402
+
+ROUTERS = 4
+CAPACITY = 4
+ENGINES = 2
+BATCH = 24
+GIVE_UP_SECONDS = 60
+
+
+def wait_for(condition, what):
+    deadline = time.monotonic() + GIVE_UP_SECONDS
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError(f"never: {what}")
+        time.sleep(0.05)
+
+
+def chat(router, number):
+    body = {
+        "model": fleet.MODEL, "max_tokens": 8,
+        "messages": [{"role": "user", "content": f"request {number}"}],
+    }
+    headers = {"authorization": "Bearer organisation-key", "content-type": "application/json"}
+    status, fields, text = call(
+        router.caller_port, "POST", "/v1/chat/completions", body, headers, GIVE_UP_SECONDS
+    )
+    return status, fields.get("x-outcome"), text
+
+
+def serve_batch(routers, pool):
+    """A batch of requests through the routers at once; all must be answered."""
+    calls = [pool.submit(chat, routers[i % len(routers)], i) for i in range(BATCH)]
+    for done in calls:
+        status, outcome, text = done.result()
+        assert status == 200 and outcome == "answered", (status, outcome, text)
+
+
+def statuses(made):
+    return [r.admin_json("/admin/v1/status") or {} for r in made.routers]
+
+
+def settled(made):
+    """Every router sees all the others and holds the same roster."""
+    seen = statuses(made)
+    versions = {s.get("roster_version") for s in seen}
+    return all(s.get("members_alive") == ROUTERS for s in seen) and len(versions) == 1 and (
+        versions.pop() or 0
+    ) >= 2
+
+
+def peak_of(engine):
+    return get_json(engine.port, "/control/counters")["max_in_flight"]
+
+
+def check_bound(made):
+    for engine in made.targets:
+        peak = peak_of(engine)
+        assert peak <= CAPACITY, f"{engine.name} bore {peak} of {CAPACITY}"
+
+
+def run(made):
+    made.start_platform()
+    for i in range(ENGINES):
+        made.add_engine(f"engine-{i}", f"dc-{i}", "--tokens-per-second", "200", "--warm")
+    made.publish_vms()
+    for i in range(ROUTERS):
+        made.make_router(f"dc-{i % 2}").process.start()
+    made.configure(
+        ["organisation"], warm_capacity=CAPACITY, load_multiple=4.0, shards=2,
+        default_deadline_ms=60_000,
+    )
+    made.wait_ready()
+    wait_for(lambda: settled(made), "the routers agree")
+    with concurrent.futures.ThreadPoolExecutor(BATCH) as pool:
+        serve_batch(made.routers, pool)
+        for victim in made.routers:
+            others = [r for r in made.routers if r is not victim]
+            victim.process.pause()
+            serve_batch(others, pool)
+            victim.process.resume()
+            wait_for(lambda: settled(made), f"{victim.name} is back after a pause")
+            serve_batch(made.routers, pool)
+            check_bound(made)
+        for victim in made.routers:
+            others = [r for r in made.routers if r is not victim]
+            victim.process.kill()
+            serve_batch(others, pool)
+            victim.process.start()
+            made.wait_ready([victim])
+            wait_for(lambda: settled(made), f"{victim.name} is back after a crash")
+            check_bound(made)
+        serve_batch(made.routers, pool)
+    check_bound(made)
+    # The batches are larger than all engines bear, so the limit was reached.
+    assert all(peak_of(engine) == CAPACITY for engine in made.targets)
+
+
+def main():
+    with tempfile.TemporaryDirectory(prefix="samphirespool-owners-") as folder:
+        made = fleet.Fleet(os.path.abspath(sys.argv[1]), folder)
+        try:
+            run(made)
+        finally:
+            made.end()
+    print("share owners: every request answered, no engine above its limit")
+
+
+main()
