--- a/src/claims/claim_journal.cpp
+++ b/src/claims/claim_journal.cpp
@@ -250,7 +250,7 @@
     auto calls = std::move(this->current.calls);
     this->current = {};
     for (auto& each : this->waiting)
-        calls.push_back(std::move(each));
+        calls.push_back(each);
     this->waiting = std::move(calls);
 }
 
@@ -277,7 +277,7 @@
         }
         if (effect.verdict)
             this->current.answers.push_back({each.call.request, *effect.verdict});
-        this->current.calls.push_back(std::move(each));
+        this->current.calls.push_back(each);
     }
 }
 
--- a/src/claims/claim_journal.hpp
+++ b/src/claims/claim_journal.hpp
@@ -57,7 +57,7 @@
 
 struct journal_settings {
     std::uint32_t shard = 0;
-    // Name of this life of the process.
+    // Name of this journal, unique in the fleet and over restarts.
     std::string writer;
     // From the start of one update of the head to that of the next.
     helpers::duration commit_interval = std::chrono::milliseconds(50);
--- a/src/claims/claim_manager.cpp
+++ b/src/claims/claim_manager.cpp
@@ -184,7 +184,8 @@
         return *found;
     auto settings = this->settings.journal;
     settings.shard = shard;
-    settings.writer = this->settings.writer;
+    // A journal that is made again after it was dropped counts its nonces from the start.
+    settings.writer = this->settings.writer + "-" + std::to_string(++this->journals_made);
     found = std::make_unique<running_journal>(settings);
     return *found;
 }
--- a/src/claims/claim_manager.hpp
+++ b/src/claims/claim_manager.hpp
@@ -94,6 +94,7 @@
     // Who asked this router as the owner; a local claim has no entry.
     std::unordered_map<helpers::request_id, helpers::endpoint> askers;
     std::map<std::uint32_t, std::unique_ptr<running_journal>> journals;
+    std::uint64_t journals_made = 0;
     // Expires with this object, so that late replies find out.
     std::shared_ptr<bool> alive;
 };
--- a/src/store/change_writer.hpp
+++ b/src/store/change_writer.hpp
@@ -18,7 +18,8 @@
 namespace samphirespool::store {
 
 struct change_writer_settings {
-    // Name of this life of the process; part of every chunk's name.
+    // Name of this life of the process, unique in the fleet and over restarts; part of every
+    // chunk's name.
     std::string writer;
     // From the request to its answer.
     helpers::duration deadline = std::chrono::seconds(3);
--- a/src/store/configuration_store.cpp
+++ b/src/store/configuration_store.cpp
@@ -5,6 +5,20 @@
 
 namespace samphirespool::store {
 
+namespace {
+
+// Chunks are named after the writer, so its name must differ in every life of every router.
+configuration_store_settings with_writer(configuration_store_settings settings,
+                                         const config::peer_router& self, const kernel::loop& loop,
+                                         kernel::random_source& random) {
+    if (settings.writer.writer.empty())
+        settings.writer.writer = self.name + "-" + std::to_string(loop.time().wall()) + "-" +
+                                 std::to_string(random.next());
+    return settings;
+}
+
+} // namespace
+
 configuration_store::configuration_store(kernel::loop& loop, kernel::random_source& random,
                                          kernel::event_sink& events, object_store& objects,
                                          config::configuration_network& network,
@@ -14,10 +28,10 @@
       events(events),
       objects(objects),
       directory(directory),
-      settings(settings),
+      settings(with_writer(settings, directory.self(), loop, random)),
       loader(this->manager),
       source(objects),
-      writer(loop, objects, this->manager, this->loader, settings.writer),
+      writer(loop, objects, this->manager, this->loader, this->settings.writer),
       relay(loop, random, objects, directory, this->manager, this->loader, this->writer,
             settings.relay),
       peers(loop, random, network, directory, this->manager, this->loader, this->vm_list,
--- a/tests/claims/test_claim_schedules.cpp
+++ b/tests/claims/test_claim_schedules.cpp
@@ -1,6 +1,7 @@
 // Random schedules: many keyed requests through several routers with kills, outages, lost answers
 // and lost frames. Nothing runs twice, and what was answered as not run never ran.
 #include "tests/claims/fake_claim_fleet.hpp"
+#include "tests/claims/journal_rules.hpp"
 
 #include <doctest/doctest.h>
 
@@ -45,9 +46,12 @@
         ++this->verdicts[got.verdict];
         if (got.verdict == claim_verdict::executed)
             this->executed_truly = this->executed_truly && this->runs[key] == 1;
+        if (got.verdict == claim_verdict::unavailable)
+            this->rules.given_back.insert(wanted.request);
         if (got.verdict != claim_verdict::claimed)
             return;
         if (this->random.below(10) == 0) {
+            this->rules.given_back.insert(wanted.request);
             this->fleet.routers[at]->manager->release(wanted);
             return;
         }
@@ -94,6 +98,7 @@
     }
 
     tests::claim_fleet fleet;
+    tests::journal_rules rules{this->fleet.shared};
     kernel::random_source random;
     std::vector<int> runs;
     std::map<claim_verdict, int> verdicts;
@@ -115,6 +120,9 @@
             run += count;
         }
         CHECK(each.executed_truly);
+        for (const auto& rule : each.rules.broken())
+            FAIL_CHECK(rule);
+        CHECK(each.rules.updates() > 500);
         claimed += each.verdicts[claim_verdict::claimed];
     }
     // The schedules get far enough to mean something.
--- a/tests/claims/test_claims.cpp
+++ b/tests/claims/test_claims.cpp
@@ -1,6 +1,7 @@
 // Tests of claims: verdicts, two owners, lost answers, outages, dated keys, and random schedules
 // in which nothing may run twice.
 #include "tests/claims/fake_claim_fleet.hpp"
+#include "tests/claims/journal_rules.hpp"
 
 #include <doctest/doctest.h>
 
@@ -125,6 +126,7 @@
 
 TEST_CASE("claims: an owner that slept through the forgetting of a key does not run it again") {
     tests::claim_fleet fleet(2);
+    tests::journal_rules rules(fleet.shared);
     const auto now = fleet.loop.time().wall();
     char digits[32];
     std::snprintf(digits, sizeof digits, "%013lld-x", static_cast<long long>(now));
@@ -164,4 +166,7 @@
         }
     }
     CHECK(verdict == claim_verdict::expired);
+    // Journals that were dropped as unused and made again repeat neither nonces nor names.
+    for (const auto& rule : rules.broken())
+        FAIL_CHECK(rule);
 }
--- a/tests/config/test_change_sequences.cpp
+++ b/tests/config/test_change_sequences.cpp
@@ -130,6 +130,7 @@
     CHECK(rc::check([] {
         const auto count = *rc::gen::inRange(1, 6);
         std::vector<config::provisional_mark> marks;
+        marks.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
             marks.push_back({"p" + std::to_string(i), config::mark_subject::data_centre,
                              "dc" + std::to_string(i % 2), 10 + i});
--- a/tests/store/configuration_fleet.hpp
+++ b/tests/store/configuration_fleet.hpp
@@ -84,7 +84,6 @@
           port(network, directory.own.address),
           directory(std::move(directory)) {
         store::configuration_store_settings settings;
-        settings.writer.writer = this->directory.own.name + "-" + std::to_string(life);
         this->store = std::make_unique<store::configuration_store>(
             loop, this->random, this->events, this->objects, this->port, this->directory, settings);
         this->store->on_change([this] {
--- a/tests/store/fake_object_store.hpp
+++ b/tests/store/fake_object_store.hpp
@@ -59,6 +59,8 @@
         kernel::timer_id timer;
     };
     std::list<watcher> watchers;
+    // Sees every update that took effect, in order.
+    std::function<void(std::string_view key, const std::string& value)> on_update;
 
     store::read_result find(std::string_view key) const {
         const auto* found = this->objects.find(key);
@@ -115,6 +117,8 @@
                          const auto result = shared.objects.put(key, expected, value);
                          if (result.status == standins::update_status::ok)
                              shared.wake(key);
+                         if (result.status == standins::update_status::ok && shared.on_update)
+                             shared.on_update(key, value);
                          return result;
                      });
     }
--- a/tests/store/test_configuration_store.cpp
+++ b/tests/store/test_configuration_store.cpp
@@ -244,6 +244,55 @@
     CHECK(fleet.all_at(1));
 }
 
+TEST_CASE("configuration store: chunks that no root names are deleted, and only those") {
+    tests::configuration_fleet fleet(3);
+    fleet.loop.advance(4s);
+    const auto chunks = [&fleet] {
+        std::set<std::string> result;
+        fleet.shared.objects.visit(config::chunk_prefix,
+                                   [&result](const auto& key, const auto&) { result.insert(key); });
+        return result;
+    };
+    REQUIRE(fleet.change(0, import_of(40)).status == change_status::accepted);
+    for (std::uint32_t round = 2; round < 12; ++round) {
+        config::change_request wanted;
+        wanted.body = config::put_organisation{organisation(3)};
+        std::get<config::put_organisation>(wanted.body).definition.weight = round;
+        REQUIRE(fleet.change(1, wanted).status == change_status::accepted);
+        fleet.loop.advance(6min);
+    }
+    const auto named = config::parse_root(fleet.shared.find(config::root_key).found.value);
+    std::size_t present = 0;
+    for (const auto& name : named->chunks)
+        present += chunks().count(std::string(config::chunk_prefix) + name);
+    CHECK(present ==
+          static_cast<std::size_t>(std::count_if(named->chunks.begin(), named->chunks.end(),
+                                                 [](const auto& name) { return !name.empty(); })));
+    // Of ten replaced chunks the old ones are gone; the last ones have their time of grace.
+    CHECK(chunks().size() < present + 8);
+    fleet.start_router(2);
+    fleet.run_until([&] { return fleet.all_at(11); });
+    CHECK(fleet.all_at(11));
+}
+
+TEST_CASE("configuration store: no chunk is written twice, not even by another life of a router") {
+    tests::configuration_fleet fleet(2);
+    fleet.loop.advance(4s);
+    std::set<std::string> names;
+    for (std::size_t round = 1; round <= 6; ++round) {
+        config::change_request wanted;
+        wanted.body = config::put_organisation{organisation(3)};
+        std::get<config::put_organisation>(wanted.body).definition.weight =
+            static_cast<std::uint32_t>(round);
+        REQUIRE(fleet.change(round % 2, wanted).status == change_status::accepted);
+        const auto root = config::parse_root(fleet.shared.find(config::root_key).found.value);
+        REQUIRE(root);
+        CHECK(names.insert(root->chunks[config::organisation_chunk("org-3")]).second);
+        fleet.start_router(round % 2);
+        fleet.loop.advance(4s);
+    }
+}
+
 TEST_CASE("configuration store: a small change among 36,000 organisations writes one chunk") {
     tests::configuration_fleet fleet(3);
     fleet.loop.advance(4s);
