--- a/scripts/capacitylib/model.py
+++ b/scripts/capacitylib/model.py
@@ -129,9 +129,15 @@
     "organisations in chunks below one root; a roster for each region", "src/config, src/membership",
 )
 
+SETTLE = Row(
+    "entry router", "start of all at once until members and rosters stand still", "s", 1.0,
+    [fleet("settle_seconds", "region_routers")],
+    "probes, exchange of tables, one roster change at a time", "src/membership",
+)
+
 ROWS = [
     ROUTER_CPU, ROUTER_CONTROL_OUT, ROUTER_CONTROL_IN, ROUTER_MEMORY, OWNER_CPU,
-    OWNER_CONTROL_OUT, OWNER_CONTROL_IN, CHANGE_DELAY, STORE_READS, STORE_WRITES, ROOT_VALUE,
+    OWNER_CONTROL_OUT, OWNER_CONTROL_IN, CHANGE_DELAY, STORE_READS, STORE_WRITES, ROOT_VALUE, SETTLE,
 ]
 
 CPU_TEXT = "the letter allows 3.4% of a core for control"
