--- a/tests/store/test_configuration_store.cpp
+++ b/tests/store/test_configuration_store.cpp
@@ -160,6 +160,30 @@
         CHECK_FALSE(each->went_back);
 }
 
+TEST_CASE(
+    "configuration store: 330 routers in six regions follow within four seconds and 22 KB/s") {
+    constexpr std::size_t router_count = 330;
+    constexpr double max_bytes_per_second = 22'000;
+    tests::configuration_fleet fleet(router_count, 6);
+    fleet.loop.advance(6s);
+    REQUIRE(fleet.all_at(0));
+    fleet.network.lost_share = 0.1;
+    const auto bytes_before = fleet.network.bytes;
+    // One change every ten seconds: 8,300 a day.
+    for (config::configuration_version version = 1; version <= 4; ++version) {
+        const auto id = "id" + std::to_string(version);
+        const auto result = fleet.change(version * 97 % router_count, preset_change("peak", id));
+        REQUIRE(result.version == version);
+        const auto took = fleet.run_until([&] { return fleet.all_at(version); });
+        MESSAGE("in force on all routers after " << took / 1ms << " ms");
+        CHECK(took < 4s);
+        fleet.loop.advance(10s - took);
+    }
+    const auto rate = static_cast<double>(fleet.network.bytes - bytes_before) / 40 / router_count;
+    MESSAGE("bytes sent a second and router: " << rate);
+    CHECK(rate < max_bytes_per_second);
+}
+
 TEST_CASE("configuration store: store calls do not grow with the number of routers") {
     const auto calls_of = [](std::size_t routers) {
         tests::configuration_fleet fleet(routers);
