--- a/model/claims.pml
+++ b/model/claims.pml
@@ -16,7 +16,7 @@
  */
 
 #ifdef MUTANT_FILES
-#define MAX_VERSION 3
+#define MAX_VERSION 2
 #else
 #define MAX_VERSION 5
 #endif
