Refuse a configuration whose placement strategy is not registered

Cause: an unknown name was accepted and the default strategy ran in silence. Conclusion: a misspelt strategy is named with the registered ones.

--- a/src/config/checks.cpp
+++ b/src/config/checks.cpp
@@ -1,6 +1,8 @@
 // The rules that a configuration must keep.
 #include "config/checks.hpp"
 
+#include "kernel/plug_in_names.hpp"
+
 #include <algorithm>
 #include <cctype>
 #include <cmath>
@@ -69,13 +71,22 @@
         add(faults, path, "needs a path prefix or a model");
 }
 
+void check_placement(fault_list& faults, const std::string& path, const std::string& name) {
+    const auto& known = kernel::plug_in_names("placement strategy");
+    if (known.contains(name))
+        return;
+    std::string list;
+    for (const auto& each : known)
+        list += (list.empty() ? "" : ", ") + each;
+    add(faults, path, "must name a placement strategy: " + list);
+}
+
 void check_service(fault_list& faults, const std::string& key, const service_definition& service) {
     const auto path = "services." + key;
     check_name(faults, path, key, service.name);
     check_prefixes(faults, path, service);
     check_calls(faults, path, service);
-    if (!is_valid_name(service.placement))
-        add(faults, path + ".placement", "must name a placement strategy");
+    check_placement(faults, path + ".placement", service.placement);
     if (!is_within(service.load_multiple, 1, max_load_multiple))
         add(faults, path + ".load_multiple", "must be 1 to 100");
     if (service.warm_capacity == 0 || service.warm_capacity > max_target_capacity)
--- a/src/kernel/registry.hpp
+++ b/src/kernel/registry.hpp
@@ -2,6 +2,8 @@
 // its own .cpp; the kernel names none of them.
 #pragma once
 
+#include "kernel/plug_in_names.hpp"
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -22,7 +24,10 @@
         return only;
     }
 
+    // An interface with a plug_in_kind has its names in plug_in_names() as well.
     void add(std::string_view name, factory make) {
+        if constexpr (requires { Interface::plug_in_kind; })
+            add_plug_in_name(Interface::plug_in_kind, name);
         this->factories.insert_or_assign(std::string(name), std::move(make));
     }
 
--- a/src/placement/placement_strategy.hpp
+++ b/src/placement/placement_strategy.hpp
@@ -22,6 +22,8 @@
 
 class placement_strategy {
 public:
+    static constexpr std::string_view plug_in_kind = "placement strategy";
+
     virtual ~placement_strategy() = default;
 
     // Called when the list of targets, their weight or their eligibility changed.
--- a/tests/config/test_documents.cpp
+++ b/tests/config/test_documents.cpp
@@ -74,6 +74,7 @@
     wrong.services["bookings"].load_multiple = 0.5;
     wrong.services["bookings"].non_idempotent = {"POST", "POST /ok"};
     wrong.services["bookings"].warm_capacity = 0;
+    wrong.services["bookings"].placement = "no-such-strategy";
     wrong.organisations["harbour"].weight = 0;
     wrong.organisations["twin"] = wrong.organisations["harbour"];
     wrong.presets.erase("maintenance");
@@ -84,7 +85,7 @@
     for (const auto* path :
          {"services.other.name", "services.other.path_prefixes", "services.bookings.load_multiple",
           "services.bookings.non_idempotent[0]", "services.bookings.warm_capacity",
-          "organisations.harbour.weight", "organisations.twin.name",
+          "services.bookings.placement", "organisations.harbour.weight", "organisations.twin.name",
           "organisations.twin.api_key_hash", "presets.maintenance", "presets.night",
           "preset_in_force", "vm_marks.a b"}) {
         CAPTURE(path);
