--- a/src/http/h2o_exchange.cpp
+++ b/src/http/h2o_exchange.cpp
@@ -43,7 +43,7 @@
 }
 
 std::size_t h2o_exchange::header_bytes() const {
-    std::size_t total = 0;
+    std::size_t total = this->method.size() + this->target.size();
     for (const auto& field : this->headers)
         total += field.name.size() + field.value.size();
     return total;
--- a/src/http/h2o_exchange.hpp
+++ b/src/http/h2o_exchange.hpp
@@ -24,6 +24,7 @@
     void on_drained(kernel::task work) override { this->drained = std::move(work); }
     void on_departed(kernel::task work) override { this->departed = std::move(work); }
 
+    // Of the request line and all header fields.
     std::size_t header_bytes() const;
 
 private:
--- a/src/http/response_stream.cpp
+++ b/src/http/response_stream.cpp
@@ -18,6 +18,7 @@
 constexpr std::string_view open_chunk = "1\r\n";
 // Pause between looks at a connection that has pipelined bytes waiting.
 constexpr auto recheck_interval = std::chrono::milliseconds(250);
+constexpr int http_1_1 = 0x101;
 // nginx's status for a caller that departed; no caller sees it.
 constexpr int status_departed = 499;
 
@@ -60,6 +61,12 @@
     return "Other";
 }
 
+// The caller sees an error in place of an end.
+void reset_on_close(int fd) {
+    const linger at_once{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
 bool peer_has_closed(int fd) {
     pollfd entry{fd, POLLRDHUP, 0};
     if (poll(&entry, 1, 0) <= 0)
@@ -223,6 +230,8 @@
     while (last->next != nullptr)
         last = last->next;
     const bool is_error = state == H2O_SEND_STATE_ERROR;
+    if (is_error && this->ends_by_close())
+        reset_on_close(h2o_socket_get_fd(this->socket()));
     auto mark = h2o_iovec_init(open_chunk.data(), open_chunk.size());
     if (is_error) {
         this->request._generator = nullptr;
@@ -231,9 +240,16 @@
     last->do_send(last, &this->request, &mark, is_error && this->is_chunked() ? 1 : 0, state);
 }
 
+bool response_stream::has_length() const {
+    return this->request.res.content_length != std::numeric_limits<std::size_t>::max();
+}
+
 bool response_stream::is_chunked() const {
-    return this->request.version >= 0x101 &&
-           this->request.res.content_length == std::numeric_limits<std::size_t>::max();
+    return !this->has_length() && this->request.version >= http_1_1;
+}
+
+bool response_stream::ends_by_close() const {
+    return !this->has_length() && this->request.version < http_1_1;
 }
 
 // Invariant: nothing is being sent, and the final state was not handed over before.
--- a/src/http/response_stream.hpp
+++ b/src/http/response_stream.hpp
@@ -73,7 +73,10 @@
     void end(h2o_send_state_t state);
     void flush_head();
     void send_past_filters(h2o_send_state_t state);
+    bool has_length() const;
     bool is_chunked() const;
+    // The caller knows the end of the answer only by the end of the connection.
+    bool ends_by_close() const;
     void flush();
     void taken();
 
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -52,7 +52,7 @@
 
 struct server_limits {
     std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
-    // Of all request header fields together.
+    // Of the request line and all header fields together.
     std::size_t max_header_bytes = std::size_t{32} * 1024;
     helpers::duration request_timeout = std::chrono::seconds(10);
     helpers::duration idle_timeout = std::chrono::seconds(60);
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -1,7 +1,12 @@
 // The HTTP server and client against each other over real sockets.
+#include "http/socket_address.hpp"
 #include "tests/http/loopback.hpp"
 
 #include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
 
 using namespace samphirespool;
 using tests::recorded_answer;
@@ -103,6 +108,69 @@
     CHECK(server->connections() == 0);
 }
 
+TEST_CASE("http: a caller that knows the end only by the close sees a reset instead") {
+    http::event_loop loop;
+    std::unique_ptr<http::exchange> open;
+    auto server = tests::serve(loop, [&](std::unique_ptr<http::exchange> incoming) {
+        open = std::move(incoming);
+        open->begin(200, {});
+        open->write(std::string_view("part"));
+    });
+    auto address = http::socket_address::of({"127.0.0.1", server->port()});
+    const int caller = socket(AF_INET, SOCK_STREAM, 0);
+    REQUIRE(connect(caller, address.get(), address.size()) == 0);
+    const std::string_view request = "GET / HTTP/1.0\r\n\r\n";
+    REQUIRE(send(caller, request.data(), request.size(), 0) ==
+            static_cast<ssize_t>(request.size()));
+    run_until(loop, [&] { return open != nullptr && open->buffered() == 0; });
+    open.reset();
+    run_until(loop, [&] { return server->connections() == 0; });
+    char buffer[4096];
+    ssize_t got = 1;
+    while (got > 0)
+        got = recv(caller, buffer, sizeof(buffer), 0);
+    CHECK(got == -1);
+    CHECK(errno == ECONNRESET);
+    close(caller);
+}
+
+TEST_CASE("http: a call given up once connected sends nothing") {
+    struct unwilling final : http::response_listener {
+        bool on_connected() override {
+            this->connected = true;
+            return false;
+        }
+        void on_head(int, const http::header_list&) override { this->called = true; }
+        void on_body(std::span<const char>) override { this->called = true; }
+        void on_done() override { this->called = true; }
+        void on_failed(const kernel::error&, bool) override { this->called = true; }
+        bool connected = false;
+        bool called = false;
+    };
+    http::event_loop loop;
+    int received = 0;
+    auto server = tests::serve(loop, [&](std::unique_ptr<http::exchange> incoming) {
+        ++received;
+        incoming->respond(200, {}, "answer");
+    });
+    http::h2o_client client(loop, {});
+    // On a new connection, on a pooled one, and on one outside the pool.
+    for (const bool fresh : {false, false, true}) {
+        auto request = request_to(*server, "/");
+        request.fresh_connection = fresh;
+        unwilling nobody;
+        auto given_up = client.start(request, nobody);
+        run_until(loop, [&] { return nobody.connected; });
+        given_up.reset();
+        recorded_answer answer;
+        const auto call = client.start(request_to(*server, "/"), answer);
+        run_until(loop, [&] { return answer.ended(); });
+        CHECK(answer.body == "answer");
+        CHECK_FALSE(nobody.called);
+    }
+    CHECK(received == 3);
+}
+
 TEST_CASE("http: the server learns that the caller departed, before and during the answer") {
     for (const bool begun : {false, true}) {
         http::event_loop loop;
