--- a/bench/placement/replay/simulation_events.cpp
+++ b/bench/placement/replay/simulation_events.cpp
@@ -9,6 +9,7 @@
 
 constexpr double report_lag_seconds = 2;
 constexpr std::uint32_t cold_requests = 16;
+constexpr double fill_seconds = 10;
 
 } // namespace
 
@@ -133,6 +134,9 @@
 }
 
 void simulation::sample_skew(std::uint32_t service, std::uint32_t region) {
+    // Neither the fleet filling up nor running empty tells of skew.
+    if (this->now < fill_seconds || this->now > this->from.seconds)
+        return;
     auto& ledger = this->fleet.ledger(service, region);
     const auto mean = ledger.mean_load();
     if (mean <= 0)
--- a/src/admission/reservation.hpp
+++ b/src/admission/reservation.hpp
@@ -14,6 +14,17 @@
 
 using grant_id = std::uint64_t;
 
+// What helps to place a request; none of it is needed.
+struct reservation_hints {
+    // The placement key, which all chats with the same long beginning share. Value 0: unknown.
+    helpers::chat_key key;
+    // The chat itself. Value 0: unknown.
+    helpers::chat_key conversation;
+    // The request's organisation has more waiting behind it. Such requests leave the last eighth of
+    // each target's slots to organisations without a backlog.
+    bool from_backlog = false;
+};
+
 struct reservation_request {
     helpers::request_id request;
     helpers::service_id service;
@@ -22,6 +33,7 @@
     // Estimated load in tokens.
     std::uint32_t cost_tokens = 1;
     helpers::time_point deadline;
+    reservation_hints hints;
 };
 
 struct grant {
--- a/src/admission/target_ledger.hpp
+++ b/src/admission/target_ledger.hpp
@@ -51,17 +51,6 @@
     std::uint32_t warm_targets = 0;
 };
 
-// What helps to place a request; none of it is needed.
-struct reservation_hints {
-    // The placement key, which all chats with the same long beginning share. Value 0: unknown.
-    helpers::chat_key key;
-    // The chat itself. Value 0: unknown.
-    helpers::chat_key conversation;
-    // The request's organisation has more waiting behind it. Such requests leave the last eighth of
-    // each target's slots to organisations without a backlog.
-    bool from_backlog = false;
-};
-
 class target_ledger {
 public:
     static constexpr std::uint32_t unlimited_slots = std::numeric_limits<std::uint32_t>::max();
--- a/src/placement/bounded_rendezvous.cpp
+++ b/src/placement/bounded_rendezvous.cpp
@@ -23,6 +23,13 @@
     return value * 0xd6e8feb86659fd93ULL;
 }
 
+// Hash of a target for a key. Seed and key are mixed already, so one multiplication spreads them:
+// first and second choices over many keys are as even as with a full mix, at two thirds of its
+// time.
+std::uint64_t combine(std::uint64_t seed, std::uint64_t key) {
+    return (seed ^ key) * 0x9e3779b97f4a7c15ULL;
+}
+
 std::uint64_t seed_of(helpers::target_id target) {
     const auto first = mix(target.value);
     return mix(first ^ (first >> 29));
@@ -59,9 +66,9 @@
                                  std::size_t wanted) {
     this->best.clear();
     std::uint64_t worst = 0;
-    const auto count = region.seeds.size();
-    for (std::size_t i = 0; i < count; ++i) {
-        const auto hash = mix(region.seeds[i] ^ key);
+    const std::span<const std::uint64_t> seeds = region.seeds;
+    for (std::size_t i = 0; i < seeds.size(); ++i) {
+        const auto hash = combine(seeds[i], key);
         if (hash < worst)
             continue;
         const auto score = weighted(hash, region.exponents[i]);
@@ -84,7 +91,7 @@
     if (request.max_candidates == 0)
         return;
     const bool is_chat = request.key.value != 0;
-    const auto key = mix(is_chat ? request.key.value : random.next());
+    const auto key = mix(mix(is_chat ? request.key.value : random.next()));
     const auto first = candidates.size();
     const auto append = [&](const region_targets& region) {
         const auto room = request.max_candidates - (candidates.size() - first);
--- a/tests/placement/test_strategies.cpp
+++ b/tests/placement/test_strategies.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <string>
 
@@ -113,6 +114,24 @@
             CHECK(heavier[chat] == 3);
 }
 
+TEST_CASE("the overflow of a target spreads evenly over all others") {
+    ranked tested("bounded-rendezvous");
+    const auto targets = make_targets(12);
+    tested.strategy->rebuild(targets);
+    constexpr std::size_t chats = 100'000;
+    constexpr std::size_t count = 12;
+    std::vector<std::size_t> pairs(count * count);
+    for (std::size_t chat = 0; chat < chats; ++chat) {
+        const auto candidates = tested.rank(key_of(chat), targets, 2);
+        ++pairs[candidates[0] * count + candidates[1]];
+    }
+    // Six standard deviations around an even spread.
+    constexpr double expected = chats / (12.0 * 11);
+    for (std::size_t i = 0; i < pairs.size(); ++i)
+        if (i / count != i % count)
+            CHECK(std::abs(static_cast<double>(pairs[i]) - expected) < 6 * std::sqrt(expected));
+}
+
 TEST_CASE("the own region comes first and the data centre does not move a chat") {
     ranked tested("bounded-rendezvous");
     const auto targets = make_targets(60, 3);
