Make the messages of share leases smaller

Cause: 16 routers with 16 owned shards spent 11 KB/s idle on control, sent and received together, and a request cost about 550 bytes sent.

--- a/src/ownership/message.hpp
+++ b/src/ownership/message.hpp
@@ -50,6 +50,7 @@
 struct promise_item {
     shard_id shard;
     helpers::time_point time;
+    // This and what follows, but for count and hash, travels in registrations only.
     helpers::incarnation owner_life;
     // Whether `records` lists all that the sender knows.
     bool registers = false;
--- a/src/ownership/share_owner.cpp
+++ b/src/ownership/share_owner.cpp
@@ -76,7 +76,8 @@
 
 void share_owner::on_promise(helpers::router_id from, helpers::incarnation life,
                              const promise_item& item) {
-    if (!this->is_open || item.owner_life != this->view.self().life)
+    // A renewal counts only after a registration with this life, so it needs not name it.
+    if (!this->is_open || (item.registers && item.owner_life != this->view.self().life))
         return;
     const auto now = this->time.now();
     if (!item.registers) {
--- a/src/ownership/share_timing.hpp
+++ b/src/ownership/share_timing.hpp
@@ -10,7 +10,7 @@
     helpers::duration lease = std::chrono::milliseconds(1200);
     // The owner counts a share this much shorter, for clocks that run at different speeds.
     helpers::duration drift_margin = std::chrono::milliseconds(50);
-    helpers::duration challenge_period = std::chrono::milliseconds(400);
+    helpers::duration challenge_period = std::chrono::milliseconds(500);
     // Longest time between a grant and the end of its request.
     helpers::duration longest_grant = std::chrono::minutes(11);
     // How long another owner must be the right one before a follower leaves one that answers.
--- a/src/wire/shares_codec.cpp
+++ b/src/wire/shares_codec.cpp
@@ -5,6 +5,7 @@
 #include "wire/payload_check.hpp"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace samphirespool::wire {
@@ -16,6 +17,8 @@
 using flatbuffers::Offset;
 using flatbuffers::Vector;
 
+// The wire carries no more; those beyond are the least preferred.
+constexpr std::size_t max_candidates = 4;
 constexpr auto last_result = admission::release::result::not_sent;
 
 template <class Unit>
@@ -85,37 +88,37 @@
 
 Offset<Vector<Offset<fb::share_promise>>> encode_promises(FlatBufferBuilder& builder,
                                                           const std::vector<promise_item>& items) {
-    if (items.empty())
-        return {};
     std::vector<Offset<fb::share_promise>> encoded;
-    encoded.reserve(items.size());
     for (const auto& item : items) {
+        if (!item.registers)
+            continue;
         const auto records = encode_structs<fb::share_record>(builder, item.records, encode_record);
         encoded.push_back(fb::Createshare_promise(
-            builder, item.shard.value, to_wire(item.time), item.owner_life.value, item.registers,
-            item.continuous, item.remembers, to_ms(item.encumbered), item.count, item.hash,
-            records));
+            builder, item.shard.value, to_wire(item.time), item.owner_life.value, item.continuous,
+            item.remembers, to_ms(item.encumbered), item.count, item.hash, records));
     }
+    if (encoded.empty())
+        return {};
     return builder.CreateVector(encoded);
 }
 
-Offset<Vector<Offset<fb::share_reserve>>> encode_reserves(FlatBufferBuilder& builder,
-                                                          const std::vector<reserve_item>& items) {
-    if (items.empty())
-        return {};
-    std::vector<Offset<fb::share_reserve>> encoded;
-    encoded.reserve(items.size());
-    for (const auto& item : items) {
-        std::vector<std::uint64_t> targets;
-        targets.reserve(item.candidates.size());
-        for (const auto target : item.candidates)
-            targets.push_back(target.value);
-        const auto candidates = builder.CreateVector(targets);
-        encoded.push_back(fb::Createshare_reserve(builder, item.shard.value, item.number, item.cost,
-                                                  to_ms(item.remaining), item.may_wait,
-                                                  item.sponsored, candidates));
-    }
-    return builder.CreateVector(encoded);
+fb::share_reserve encode_reserve(const reserve_item& item) {
+    std::array<std::uint64_t, max_candidates> targets{};
+    const auto count = std::min(item.candidates.size(), targets.size());
+    for (std::size_t i = 0; i < count; ++i)
+        targets[i] = item.candidates[i].value;
+    return {item.shard.value,
+            item.number,
+            flatbuffers::span<const std::uint64_t, max_candidates>(targets),
+            item.cost,
+            to_ms(item.remaining),
+            static_cast<std::uint8_t>(count),
+            item.may_wait,
+            item.sponsored};
+}
+
+fb::share_renewal encode_renewal(const promise_item& item) {
+    return {item.shard.value, to_wire(item.time), item.hash, item.count};
 }
 
 fb::share_challenge encode_challenge(const challenge_item& item) {
@@ -147,7 +150,7 @@
     item.shard.value = encoded.shard();
     item.time = from_wire(encoded.time());
     item.owner_life.value = encoded.owner_life();
-    item.registers = encoded.registers();
+    item.registers = true;
     item.continuous = encoded.continuous();
     item.remembers = encoded.remembers();
     item.encumbered = from_ms(encoded.encumbered());
@@ -167,8 +170,18 @@
     item.remaining = from_ms(encoded.remaining());
     item.may_wait = encoded.may_wait();
     item.sponsored = encoded.sponsored();
-    for_each(encoded.candidates(),
-             [&](std::uint64_t target) { item.candidates.push_back({target}); });
+    const auto count = std::min<std::size_t>(encoded.count(), max_candidates);
+    for (std::size_t i = 0; i < count; ++i)
+        item.candidates.push_back({encoded.candidates()->Get(static_cast<unsigned>(i))});
+    return item;
+}
+
+promise_item decode_renewal(const fb::share_renewal& encoded) {
+    promise_item item;
+    item.shard.value = encoded.shard();
+    item.time = from_wire(encoded.time());
+    item.hash = encoded.hash();
+    item.count = encoded.count();
     return item;
 }
 
@@ -180,6 +193,9 @@
                                       item->register_again(), item->load_tokens(),
                                       item->warm_targets()});
     });
+    for_each(encoded.renewals(), [&](const fb::share_renewal* item) {
+        content.promises.push_back(decode_renewal(*item));
+    });
     for_each(encoded.promises(), [&](const fb::share_promise* item) {
         content.promises.push_back(decode_promise(*item));
     });
@@ -237,13 +253,20 @@
     const auto follows = encode_shards(builder, content.follows);
     const auto challenges =
         encode_structs<fb::share_challenge>(builder, content.challenges, encode_challenge);
+    std::vector<promise_item> renewed;
+    for (const auto& promise : content.promises) {
+        if (!promise.registers)
+            renewed.push_back(promise);
+    }
+    const auto renewals = encode_structs<fb::share_renewal>(builder, renewed, encode_renewal);
     const auto promises = encode_promises(builder, content.promises);
     const auto unfollows = encode_shards(builder, content.unfollows);
     const auto released = encode_structs<fb::share_released>(
         builder, content.released, [](const released_item& item) {
             return fb::share_released(item.shard.value, to_wire(item.time));
         });
-    const auto reserves = encode_reserves(builder, content.reserves);
+    const auto reserves =
+        encode_structs<fb::share_reserve>(builder, content.reserves, encode_reserve);
     const auto grants = encode_structs<fb::share_grant>(builder, content.grants, encode_grant);
     const auto full =
         encode_structs<fb::share_full>(builder, content.full, [](const full_item& item) {
@@ -265,8 +288,8 @@
             return fb::share_witness_drop(item.shard.value, item.requester.value, item.number);
         });
     builder.Finish(fb::Createshare_message(
-        builder, content.sender.value, content.life.value, follows, challenges, promises, unfollows,
-        released, reserves, grants, full, finishes, witnesses, answers, drops));
+        builder, content.sender.value, content.life.value, challenges, renewals, reserves, grants,
+        finishes, full, witnesses, answers, drops, follows, promises, unfollows, released));
     return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
