Pass the hints of a request to the owner that reserves for it

Change: reservations, their messages and the owner carry placement key, conversation and backlog; the router fills them in.

--- a/src/ownership/message.hpp
+++ b/src/ownership/message.hpp
@@ -85,6 +85,7 @@
     // To a member that reserves for the sender.
     bool sponsored = false;
     std::vector<helpers::target_id> candidates;
+    admission::reservation_hints hints;
 };
 
 struct grant_item {
--- a/src/ownership/share_owner.hpp
+++ b/src/ownership/share_owner.hpp
@@ -70,6 +70,7 @@
         helpers::time_point asked_at;
         bool may_wait = true;
         std::vector<helpers::target_id> candidates;
+        admission::reservation_hints hints;
     };
     struct waiter {
         reserve_item request;
--- a/src/ownership/share_owner_grants.cpp
+++ b/src/ownership/share_owner_grants.cpp
@@ -42,7 +42,7 @@
 bool share_owner::try_grant(helpers::router_id from, const reserve_item& item) {
     const auto now = this->time.now();
     this->refresh();
-    const auto target = this->ledger.try_reserve(item.candidates, item.cost, now);
+    const auto target = this->ledger.try_reserve(item.candidates, item.cost, now, item.hints);
     if (!target)
         return false;
     grant_record record;
@@ -56,6 +56,7 @@
     record.content.sponsored = item.sponsored;
     record.ends = now + item.remaining + this->timing.end_grace;
     record.candidates = item.candidates;
+    record.hints = item.hints;
     record.may_wait = item.may_wait;
     auto& stored = this->records[from].emplace(item.number, std::move(record)).first->second;
     // What only routers of one domain knew would be lost with them.
@@ -119,6 +120,7 @@
     again.may_wait = record.may_wait;
     again.sponsored = record.content.sponsored;
     again.candidates = record.candidates;
+    again.hints = record.hints;
     this->end_record(requester, number, admission::release::result::not_sent, {});
     if (again.may_wait)
         this->wait(requester, again);
--- a/src/ownership/share_reservations.cpp
+++ b/src/ownership/share_reservations.cpp
@@ -56,6 +56,7 @@
     fresh.request.cost = asking.request.cost_tokens;
     fresh.request.may_wait = asking.may_wait;
     fresh.request.candidates = group.candidates;
+    fresh.request.hints = asking.request.hints;
     fresh.deadline = asking.request.deadline;
     fresh.listener.on_grant = [this, id](const grant_item& item) { this->on_grant(id, item); };
     fresh.listener.on_full = [this, id](const full_item& item) { this->on_full(id, item); };
--- a/src/router/caller_request.cpp
+++ b/src/router/caller_request.cpp
@@ -108,9 +108,14 @@
         this->result.service = *found;
         this->result.stream = chat->stream;
         this->result.cost_tokens = cost_of(this->request, *chat);
-        this->result.chat = placement::make_chat_key(header(this->request, "x-chat-key"),
-                                                     this->result.organisation.id, chat->model,
-                                                     chat->opening_messages);
+        const auto name = header(this->request, "x-chat-key");
+        const auto organisation = this->result.organisation.id;
+        const auto& opening = chat->opening_messages;
+        this->result.beginning = placement::make_chat_key({}, organisation, chat->model, opening);
+        this->result.has_named_chat = !name.empty();
+        this->result.chat =
+            name.empty() ? this->result.beginning
+                         : placement::make_chat_key(name, organisation, chat->model, opening);
         return true;
     }
 
--- a/src/router/caller_request.hpp
+++ b/src/router/caller_request.hpp
@@ -27,6 +27,9 @@
     helpers::time_point deadline{};
     request_priority priority = request_priority::normal;
     helpers::chat_key chat;
+    // Key of the long beginning alone, which chats of other names may share.
+    helpers::chat_key beginning;
+    bool has_named_chat = false;
     std::string idempotency_key;
     bool non_idempotent = false;
     bool is_chat = false;
--- a/src/router/local_reservation.cpp
+++ b/src/router/local_reservation.cpp
@@ -87,7 +87,8 @@
 local_reservation::try_grant(const admission::reservation_request& request) {
     const auto now = this->loop.time().now();
     auto& ledger = this->services[request.service].ledger;
-    const auto target = ledger.try_reserve(request.candidates, request.cost_tokens, now);
+    const auto target =
+        ledger.try_reserve(request.candidates, request.cost_tokens, now, request.hints);
     if (!target)
         return std::nullopt;
     admission::reservation_answer answer;
--- a/src/router/routed_request.cpp
+++ b/src/router/routed_request.cpp
@@ -175,13 +175,20 @@
     this->reservation_pending = true;
     this->context.reservations.reserve(
         {this->id, this->wanted.service.id, std::move(candidates), this->wanted.cost_tokens,
-         this->wanted.deadline},
+         this->wanted.deadline, this->hints()},
         [this, alive = this->alive](const admission::reservation_answer& answer) {
             if (*alive)
                 this->on_reservation(answer);
         });
 }
 
+admission::reservation_hints routed_request::hints() const {
+    const auto conversation = this->wanted.has_named_chat ? this->wanted.chat : helpers::chat_key{};
+    const auto backlog =
+        this->context.turns.has_backlog(this->wanted.service.id, this->wanted.organisation.id);
+    return {this->wanted.beginning, conversation, backlog};
+}
+
 // Another target may come up before the deadline. If every target there is was tried, none will.
 void routed_request::wait_for_targets() {
     if (!this->state.tried().empty()) {
--- a/src/router/routed_request.hpp
+++ b/src/router/routed_request.hpp
@@ -58,6 +58,7 @@
     void do_nothing(const request::decision&) {}
     void make_claim(const request::decision&);
     void reserve(const request::decision&);
+    admission::reservation_hints hints() const;
     void call_target(const request::decision&);
     void resume_stream(const request::decision&);
     void pass_answer(const request::decision&);
--- a/src/router/turn_queue.cpp
+++ b/src/router/turn_queue.cpp
@@ -77,6 +77,12 @@
     this->give_turns(queue);
 }
 
+bool turn_queue::has_backlog(helpers::service_id service,
+                             helpers::organisation_id organisation) const {
+    const auto found = this->queues.find(service);
+    return found != this->queues.end() && found->second.waiting.size(organisation) > 0;
+}
+
 void turn_queue::give_turns(service_queue& queue) {
     while (queue.placing < max_placing && queue.waiting.size() > 0) {
         const auto now = this->loop.time().now();
--- a/src/router/turn_queue.hpp
+++ b/src/router/turn_queue.hpp
@@ -47,6 +47,8 @@
     void set_reports(limit_reports* receiver) { this->reports = receiver; }
     admission::organisation_limits& limits() { return this->shares; }
     std::size_t waiting() const;
+    // Whether requests of the organisation wait for their turn at the service.
+    bool has_backlog(helpers::service_id service, helpers::organisation_id organisation) const;
 
     // Requests of one service that wait for a reservation at a time.
     static constexpr std::size_t max_placing = 64;
--- a/src/wire/shares_codec.cpp
+++ b/src/wire/shares_codec.cpp
@@ -110,11 +110,14 @@
     return {item.shard.value,
             item.number,
             flatbuffers::span<const std::uint64_t, max_candidates>(targets),
+            item.hints.key.value,
+            item.hints.conversation.value,
             item.cost,
             to_ms(item.remaining),
             static_cast<std::uint8_t>(count),
             item.may_wait,
-            item.sponsored};
+            item.sponsored,
+            item.hints.from_backlog};
 }
 
 fb::share_renewal encode_renewal(const promise_item& item) {
@@ -170,6 +173,7 @@
     item.remaining = from_ms(encoded.remaining());
     item.may_wait = encoded.may_wait();
     item.sponsored = encoded.sponsored();
+    item.hints = {{encoded.key()}, {encoded.conversation()}, encoded.from_backlog()};
     const auto count = std::min<std::size_t>(encoded.count(), max_candidates);
     for (std::size_t i = 0; i < count; ++i)
         item.candidates.push_back({encoded.candidates()->Get(static_cast<unsigned>(i))});
--- a/tests/wire/test_shares_codec.cpp
+++ b/tests/wire/test_shares_codec.cpp
@@ -29,6 +29,7 @@
     content.released = {{shard, at}};
     content.reserves = {
         {shard, 20, 21, 22ms, true, true, {helpers::target_id{23}, helpers::target_id{24}}}};
+    content.reserves.front().hints = {helpers::chat_key{38}, helpers::chat_key{39}, true};
     content.grants = {{shard, 25, helpers::target_id{26}, at, 27, 28, true}};
     content.full = {{shard, 29, true, true}};
     content.finishes = {{shard, 30, admission::release::result::cancelled, 31us, true}};
@@ -52,6 +53,9 @@
     CHECK(decoded.promises.at(1).records.at(1).remaining == 700ms);
     CHECK(decoded.promises.at(1).encumbered == 17ms);
     CHECK(decoded.reserves.at(0).candidates.at(1).value == 24);
+    CHECK(decoded.reserves.at(0).hints.key.value == 38);
+    CHECK(decoded.reserves.at(0).hints.conversation.value == 39);
+    CHECK(decoded.reserves.at(0).hints.from_backlog);
     CHECK(decoded.grants.at(0).time == at);
     CHECK(decoded.finishes.at(0).first_byte == 31us);
     CHECK(decoded.witnesses.at(0).record.requester.value == 1);
