--- a/bench/control/run.py
+++ b/bench/control/run.py
@@ -10,6 +10,7 @@
 import argparse
 import json
 import os
+import re
 import subprocess
 import sys
 import tempfile
@@ -59,11 +60,22 @@
     return {
         "sent": metric(page, peer, 'direction="sent"'),
         "received": metric(page, peer, 'direction="received"'),
+        "kinds": kinds_sent(page),
         "cpu": metric(page, "process_cpu_seconds_total"),
         "memory": metric(page, "process_resident_memory_bytes"),
     }
 
 
+def kinds_sent(page):
+    kinds = {}
+    for line in page.splitlines():
+        found = re.match(r'samphirespool_peer_bytes_total\{(.*)\} (\S+)', line)
+        if found and 'direction="sent"' in found[1]:
+            kind = re.search(r'kind="(\w+)"', found[1])
+            kinds[kind[1] if kind else "all"] = float(found[2])
+    return kinds
+
+
 def fit(points):
     """Least squares line through (size, value): (intercept, slope)."""
     n = len(points)
@@ -154,6 +166,7 @@
         for name in ("sent", "received", "cpu"):
             rates = [(b[name] - a[name]) / spent for a, b in zip(before, after)]
             self.note(f"{mode}_{name}", rates, "core" if name == "cpu" else "B/s", means)
+        self.note_kinds(mode, before, after, spent)
         both = [
             (b["sent"] + b["received"] - a["sent"] - a["received"]) / spent
             for a, b in zip(before, after)
@@ -165,6 +178,12 @@
         means[f"{mode}_store_calls"] = total
         return means
 
+    def note_kinds(self, mode, before, after, spent):
+        """Mean bytes a second sent, by kind of frame."""
+        for kind in sorted(after[0]["kinds"]):
+            spent_bytes = sum(b["kinds"][kind] - a["kinds"].get(kind, 0) for a, b in zip(before, after))
+            report(f"{mode}_sent_{kind}", spent_bytes / spent / self.size, "B/s", routers=self.size)
+
     def note(self, figure, values, unit, means):
         limit = next((v for k, v in LIMITS.items() if figure.endswith(k)), None)
         means[figure] = sum(values) / len(values)
@@ -242,6 +261,7 @@
     parser.add_argument("build")
     parser.add_argument("--sizes", default="8,16,32,64,128,250")
     parser.add_argument("--seconds", type=float, default=10, help="length of each measurement")
+    parser.add_argument("--pause", type=float, default=0, help="seconds between start and measurement")
     parser.add_argument("--kills", action="store_true", help="only the kills, at the first size")
     arguments = parser.parse_args()
     measured = {}
@@ -254,6 +274,8 @@
                 if arguments.kills:
                     run.measure_kills()
                     return 0
+                # Updates about the starts ride on the probes for a while.
+                time.sleep(arguments.pause)
                 measured[size] = {**run.measure(False), **run.measure(True)}
                 run.measure_changes()
             except (RuntimeError, OSError) as reason:
