--- a/scripts/soaklib/checks.py
+++ b/scripts/soaklib/checks.py
@@ -278,6 +278,9 @@
     latest = {}
     for seen in trace.of("version"):
         known = latest.get(seen.router)
+        # A new life learns before it is ready and takes no work until then.
+        if not seen.ready and (known is None or seen.life != known.life):
+            continue
         if known is not None and seen.version < known.version:
             text = f"{seen.router} went from {known.version} back to {seen.version}"
             verdict.violate(seen.t, text, known, seen)
--- a/src/debug/json_log.cpp
+++ b/src/debug/json_log.cpp
@@ -5,7 +5,6 @@
 
 #include <array>
 #include <cerrno>
-#include <cstdio>
 #include <cstring>
 #include <fcntl.h>
 #include <glog/logging.h>
@@ -105,15 +104,6 @@
     return names.at(static_cast<std::size_t>(level));
 }
 
-std::string to_string(const helpers::request_id& request) {
-    std::array<char, 64> buffer;
-    const auto length = std::snprintf(buffer.data(), buffer.size(), "%016llx-%llx-%llx",
-                                      static_cast<unsigned long long>(request.router.value),
-                                      static_cast<unsigned long long>(request.life.value),
-                                      static_cast<unsigned long long>(request.sequence));
-    return {buffer.data(), static_cast<std::size_t>(length)};
-}
-
 // The sink for events, and the one that glog calls for messages of libraries.
 class json_log::glog_sinks final : public google::LogSink {
 public:
@@ -202,7 +192,7 @@
         return;
     auto line = this->sinks->begin(level, name);
     if (request)
-        line.add("request", to_string(*request));
+        line.add("request", helpers::to_string(*request));
     std::uint64_t dropped = 0;
     if (fields.size() > 0) {
         line.open("fields");
--- a/src/debug/json_log.hpp
+++ b/src/debug/json_log.hpp
@@ -22,9 +22,6 @@
 // The name of a level as it stands in the log: debug, info, warning or error.
 std::string_view to_string(kernel::severity level);
 
-// A request's name as it stands in the log: router, life and sequence in hex with hyphens between.
-std::string to_string(const helpers::request_id& request);
-
 struct json_log_options {
     std::string process;
     // Empty: standard error.
--- a/src/helpers/ids.hpp
+++ b/src/helpers/ids.hpp
@@ -4,6 +4,7 @@
 
 #include "helpers/strong_id.hpp"
 
+#include <string>
 #include <string_view>
 
 namespace samphirespool::helpers {
@@ -37,6 +38,9 @@
     friend constexpr auto operator<=>(const request_id&, const request_id&) = default;
 };
 
+// Router, life and sequence in hex with hyphens between: the name of a request in logs and headers.
+std::string to_string(const request_id& request);
+
 } // namespace samphirespool::helpers
 
 template <>
--- a/src/router/request_handler.cpp
+++ b/src/router/request_handler.cpp
@@ -3,8 +3,6 @@
 
 #include "http/error_response.hpp"
 
-#include <cstdio>
-
 namespace samphirespool::router {
 
 namespace {
@@ -17,15 +15,6 @@
 
 } // namespace
 
-std::string to_string(const helpers::request_id& id) {
-    char text[64];
-    std::snprintf(text, sizeof(text), "%016llx-%llx-%llx",
-                  static_cast<unsigned long long>(id.router.value),
-                  static_cast<unsigned long long>(id.life.value),
-                  static_cast<unsigned long long>(id.sequence));
-    return text;
-}
-
 void request_handler::handle(std::unique_ptr<http::exchange> incoming) {
     const auto request = incoming->request();
     if (request.path == health_path)
--- a/src/router/routed_request.hpp
+++ b/src/router/routed_request.hpp
@@ -102,6 +102,4 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
-std::string to_string(const helpers::request_id& id);
-
 } // namespace samphirespool::router
