--- a/src/ownership/message.hpp
+++ b/src/ownership/message.hpp
@@ -50,6 +50,7 @@
 struct promise_item {
     shard_id shard;
     helpers::time_point time;
+    // This and what follows, but for count and hash, travels in registrations only.
     helpers::incarnation owner_life;
     // Whether `records` lists all that the sender knows.
     bool registers = false;
@@ -84,6 +85,7 @@
     // To a member that reserves for the sender.
     bool sponsored = false;
     std::vector<helpers::target_id> candidates;
+    admission::reservation_hints hints;
 };
 
 struct grant_item {
--- a/src/router/routed_request.hpp
+++ b/src/router/routed_request.hpp
@@ -58,6 +58,7 @@
     void do_nothing(const request::decision&) {}
     void make_claim(const request::decision&);
     void reserve(const request::decision&);
+    admission::reservation_hints hints() const;
     void call_target(const request::decision&);
     void resume_stream(const request::decision&);
     void pass_answer(const request::decision&);
@@ -102,6 +103,4 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
-std::string to_string(const helpers::request_id& id);
-
 } // namespace samphirespool::router
