Resume sampled streams on their own engine only; parse chats by simdjson; judge load strictly

Cause: another engine continues a sampled answer with a text of its own, so resuming there could give a caller a damaged answer. The router read chat bodies with a JSON reader of its own. The soak excused loads above the multiple of the mean where an owner held warm engines for cold, which judges the routers by their own belief. Change: the rest of a stream is asked for elsewhere only at temperature 0; simdjson (a package) replaces json_cursor; the soak counts those loads as violations and names the cause, half of its chats ask for temperature 0 and must then survive an engine's crash.

--- a/scripts/soaklib/checks.py
+++ b/scripts/soaklib/checks.py
@@ -31,6 +31,12 @@
     # Cases that the design leaves open, counted by their description.
     limits: dict = field(default_factory=dict)
 
+    # Violations by what explains them.
+    causes: dict = field(default_factory=dict)
+
+    def note_cause(self, text):
+        self.causes[text] = self.causes.get(text, 0) + 1
+
     def note_limit(self, text):
         self.limits[text] = self.limits.get(text, 0) + 1
 
@@ -76,7 +82,7 @@
 
 
 def check_load_skew(trace, multiple):
-    """Loads are the stand-ins'; the design takes the mean over the engines held for warm."""
+    """Loads, and which engines are warm, are the stand-ins' own; beliefs of owners only explain."""
     verdict = Verdict("no engine carries more than a set multiple of the mean load")
     rounds = defaultdict(list)
     for sample in trace.of("engine"):
@@ -100,10 +106,11 @@
             verdict.exercised += 1
             if sample.in_flight <= max(strict_bound, earlier.in_flight):
                 continue
+            text = f"{sample.name} carries {sample.in_flight}, bound {strict_bound}"
             if sample.in_flight <= bound:
-                verdict.note_limit("above the multiple of the mean while others were held for cold")
-                continue
-            text = f"{sample.name} carries {sample.in_flight}, bound {bound}"
+                # The owner's mistake explains it and does not excuse it.
+                text += f"; {bound} over those that their owner held for warm"
+                verdict.note_cause("while warm engines were held for cold")
             verdict.violate(t, text, *samples, *believed.values())
         for sample in samples:
             before[(sample.name, sample.life)] = sample
@@ -166,7 +173,9 @@
 
 
 def engine_crashed(trace, request):
-    """Whether the stream broke when an engine was killed."""
+    """Whether a sampled stream broke when an engine was killed; only that engine had the rest."""
+    if getattr(request, "deterministic", False):
+        return False
     crashes = trace.faults_during(request.sent, request.t, ("engine_flaps",))
     in_stream = request.status == 200 and request.what == "chat"
     return in_stream and any(0 <= request.t - c.t <= CRASH_SECONDS for c in crashes)
--- a/scripts/soaklib/traffic.py
+++ b/scripts/soaklib/traffic.py
@@ -134,11 +134,15 @@
             "model": MODEL, "stream": chance.random() < 0.7, "max_tokens": tokens,
             "messages": [{"role": "user", "content": prompt}],
         }
+        deterministic = chance.random() < 0.5
+        if deterministic:
+            body["temperature"] = 0
         right = self.oracle.text(body)
         result = self.send(router, what, f"chat-{self.number()}", "/v1/chat/completions", body, organisation)
         if result is None:
             return
         observed, raw = result
+        observed["deterministic"] = deterministic
         if observed["result"] == "whole":
             judge_chat(observed, raw, body["stream"], right)
         self.trace.add("request", observed.pop("t"), **observed)
--- a/src/request/request_state.cpp
+++ b/src/request/request_state.cpp
@@ -178,6 +178,8 @@
 }
 
 decision request_state::resume_elsewhere() {
+    if (!this->properties.rest_elsewhere)
+        return this->give_up(error_kind::answer_truncated);
     this->resumed_here = false;
     return this->try_elsewhere(step::resume_elsewhere);
 }
--- a/src/request/request_state.hpp
+++ b/src/request/request_state.hpp
@@ -29,6 +29,9 @@
     bool needs_claim = false;
     // The target can continue a stream at an offset.
     bool resumable = false;
+    // Another target can as well, since it gives the same answer. An answer that was sampled is
+    // known to its own target only.
+    bool rest_elsewhere = false;
     helpers::time_point deadline;
     // Attempts that sent something, and attempts in all.
     std::uint32_t max_sends = 3;
--- a/src/router/caller_request.cpp
+++ b/src/router/caller_request.cpp
@@ -107,10 +107,12 @@
             return this->fail(error_kind::unknown_service, "no service has this model");
         this->result.service = *found;
         this->result.stream = chat->stream;
+        this->result.is_deterministic = chat->is_deterministic;
         this->result.cost_tokens = cost_of(this->request, *chat);
         const auto name = header(this->request, "x-chat-key");
         const auto organisation = this->result.organisation.id;
-        const auto& opening = chat->opening_messages;
+        const std::vector<std::string_view> opening(chat->opening_messages.begin(),
+                                                    chat->opening_messages.end());
         this->result.beginning = placement::make_chat_key({}, organisation, chat->model, opening);
         this->result.has_named_chat = !name.empty();
         this->result.chat =
--- a/src/router/caller_request.hpp
+++ b/src/router/caller_request.hpp
@@ -30,6 +30,8 @@
     // Key of the long beginning alone, which chats of other names may share.
     helpers::chat_key beginning;
     bool has_named_chat = false;
+    // Another engine gives the same answer.
+    bool is_deterministic = false;
     std::string idempotency_key;
     bool non_idempotent = false;
     bool is_chat = false;
--- a/src/router/chat_body.cpp
+++ b/src/router/chat_body.cpp
@@ -1,93 +1,76 @@
-// Looks at the fields of the body that matter here.
+// Reads the body with simdjson, which keeps the loop free for others even when a body is large.
 #include "router/chat_body.hpp"
 
-#include "router/json_cursor.hpp"
-
-#include <charconv>
+#include <simdjson.h>
 
 namespace samphirespool::router {
 
 namespace {
 
-// The text of a content that is a string, or of the parts of one that is an array.
-void read_content(json_cursor& cursor, std::vector<std::string_view>& texts) {
-    if (!cursor.enter_array()) {
-        texts.push_back(cursor.string_value());
-        return;
-    }
-    while (cursor.next_element()) {
-        if (!cursor.enter_object()) {
-            cursor.raw_value();
-            continue;
-        }
-        std::string_view name;
-        while (cursor.next_field(name)) {
-            const auto value = cursor.string_value();
-            if (name == "text")
-                texts.push_back(value);
-        }
-    }
+using simdjson::dom::element;
+using simdjson::dom::object;
+
+// Empty if the field is missing or no string.
+std::string_view string_field(const object& from, std::string_view name) {
+    std::string_view value;
+    return from[name].get(value) == simdjson::SUCCESS ? value : std::string_view();
 }
 
-// Returns the message's role.
-std::string_view read_message(json_cursor& cursor, std::vector<std::string_view>& texts) {
-    std::string_view role;
-    std::string_view name;
-    while (cursor.next_field(name)) {
-        if (name == "content")
-            read_content(cursor, texts);
-        else if (name == "role")
-            role = cursor.string_value();
-        else
-            cursor.raw_value();
+// The text of a content that is a string, or of the parts of one that is an array.
+std::string content_of(const object& message) {
+    std::string result(string_field(message, "content"));
+    simdjson::dom::array parts;
+    if (message["content"].get(parts) != simdjson::SUCCESS)
+        return result;
+    for (const auto part : parts) {
+        object each;
+        if (part.get(each) == simdjson::SUCCESS)
+            result += string_field(each, "text");
     }
-    return role;
+    return result;
 }
 
-void read_messages(json_cursor& cursor, std::vector<std::string_view>& opening) {
-    if (!cursor.enter_array()) {
-        cursor.raw_value();
-        return;
-    }
-    bool is_opening = true;
-    while (cursor.next_element()) {
-        if (is_opening && cursor.enter_object())
-            is_opening = read_message(cursor, opening) != "user";
-        else
-            cursor.raw_value();
+std::vector<std::string> opening_of(const object& body) {
+    std::vector<std::string> result;
+    simdjson::dom::array messages;
+    if (body["messages"].get(messages) != simdjson::SUCCESS)
+        return result;
+    for (const auto each : messages) {
+        object message;
+        if (each.get(message) != simdjson::SUCCESS)
+            continue;
+        result.push_back(content_of(message));
+        if (string_field(message, "role") == "user")
+            break;
     }
+    return result;
 }
 
-std::uint64_t to_number(std::string_view text) {
-    std::uint64_t number = 0;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-    return number;
+std::uint64_t max_tokens_of(const object& body) {
+    std::uint64_t result = 0;
+    for (const auto* name : {"max_tokens", "max_completion_tokens"})
+        if (body[name].get(result) == simdjson::SUCCESS)
+            return result;
+    return 0;
 }
 
 } // namespace
 
 std::optional<chat_body> read_chat_body(std::string_view text) {
-    chat_body body;
-    json_cursor cursor(text);
-    if (!cursor.enter_object())
-        return std::nullopt;
-    std::string_view name;
-    while (cursor.next_field(name)) {
-        if (name == "messages") {
-            read_messages(cursor, body.opening_messages);
-            continue;
-        }
-        const auto value = cursor.raw_value();
-        if (name == "model" && value.size() >= 2 && value.front() == '"')
-            body.model = value.substr(1, value.size() - 2);
-        else if (name == "stream")
-            body.stream = value == "true";
-        else if (name == "max_tokens" || name == "max_completion_tokens")
-            body.max_tokens = to_number(value);
-    }
-    if (!cursor.good())
+    simdjson::dom::parser parser;
+    object body;
+    if (parser.parse(text.data(), text.size()).get(body) != simdjson::SUCCESS)
         return std::nullopt;
-    return body;
+    chat_body result;
+    result.model = string_field(body, "model");
+    bool stream = false;
+    result.stream = body["stream"].get(stream) == simdjson::SUCCESS && stream;
+    double temperature = 1;
+    result.is_deterministic =
+        body["temperature"].get(temperature) == simdjson::SUCCESS && temperature == 0;
+    result.max_tokens = max_tokens_of(body);
+    result.opening_messages = opening_of(body);
+    return result;
 }
 
 } // namespace samphirespool::router
--- a/src/router/routed_request.cpp
+++ b/src/router/routed_request.cpp
@@ -54,6 +54,7 @@
     traits.needs_claim = wanted.non_idempotent && !wanted.idempotency_key.empty();
     traits.resumable = wanted.is_chat && wanted.stream &&
                        wanted.service.definition->kind == config::target_kind::engine;
+    traits.rest_elsewhere = wanted.is_deterministic;
     traits.deadline = wanted.deadline;
     return traits;
 }
--- a/tests/process/test_soak_checks.py
+++ b/tests/process/test_soak_checks.py
@@ -44,20 +44,20 @@
 
 
 def skew_among_cold(bad):
-    """Engines that their owner holds for cold do not count in the mean, whatever they carry."""
+    """Warm engines that their owner holds for cold count in the mean; the mistake is named."""
     trace = Trace()
     for name in ("e2", "e3", "e4"):
         trace.add(
             "owner", 1.5, router="r1", name=name, warm=False, capacity=2, in_flight=1, eligible=True
         )
-    for t, load in ((1, 7), (2, 20 if bad else 9)):
+    for t, load in ((1, 7 if bad else 1), (2, 9 if bad else 3)):
         engine(trace, t, "e1", started=10 * t, in_flight=load)
-        engine(trace, t, "e5", started=10 * t, in_flight=1 if bad else 7)
+        engine(trace, t, "e5", started=10 * t, in_flight=7 if bad else 1)
         for other in ("e2", "e3", "e4"):
             engine(trace, t, other, started=10 * t, in_flight=1)
     verdict = checks.check_load_skew(trace, MULTIPLE)
-    if not bad and not verdict.limits:
-        sys.exit("FAILED: the case is not noted")
+    if bad and not verdict.causes:
+        sys.exit("FAILED: the owner's mistake is not named")
     return verdict
 
 
--- a/tests/replay/test_decision_properties.cpp
+++ b/tests/replay/test_decision_properties.cpp
@@ -306,7 +306,7 @@
 
 TEST_CASE("property: every request gets exactly one outcome, and not run is true") {
     CHECK(rc::check([](bool idempotent, bool claims, bool resumable) {
-        request_model model({idempotent, claims, resumable, helpers::time_point(10s)});
+        request_model model({idempotent, claims, resumable, resumable, helpers::time_point(10s)});
         for (const auto& [choice, subject, size] : any_events())
             model.step(choice, subject, size);
         model.end();
--- a/tests/request/test_request_state.cpp
+++ b/tests/request/test_request_state.cpp
@@ -132,6 +132,7 @@
     check_end(plain.stream_broken(test.now), request_outcome::unknown,
               error_kind::answer_truncated);
     test.traits.resumable = true;
+    test.traits.rest_elsewhere = true;
     auto state = test.sent_to(first);
     state.passed(10);
     state.passed(20);
@@ -160,6 +161,7 @@
 TEST_CASE("a stream whose rest nobody gives is broken visibly, never started anew") {
     state_test test;
     test.traits.resumable = true;
+    test.traits.rest_elsewhere = true;
     test.traits.max_attempts = 3;
     auto state = test.sent_to(first);
     state.passed(10);
@@ -180,9 +182,26 @@
     CHECK_FALSE(end.release_grant);
 }
 
+TEST_CASE("a sampled stream is resumed on its own target only") {
+    state_test test;
+    test.traits.resumable = true;
+    auto state = test.sent_to(first);
+    state.passed(10);
+    CHECK(state.stream_broken(test.now).what == action::resume);
+    state.resumed();
+    check_end(state.stream_broken(test.now), request_outcome::unknown,
+              error_kind::answer_truncated);
+    auto crashed = test.sent_to(first);
+    crashed.passed(10);
+    CHECK(crashed.stream_broken(test.now).what == action::resume);
+    check_end(crashed.stream_broken(test.now), request_outcome::unknown,
+              error_kind::answer_truncated);
+}
+
 TEST_CASE("the rest of a stream is asked for a bounded number of times") {
     state_test test;
     test.traits.resumable = true;
+    test.traits.rest_elsewhere = true;
     auto state = test.sent_to(first);
     state.passed(10);
     CHECK(state.stream_broken(test.now).what == action::resume);
--- a/tests/router/test_chat_body.cpp
+++ b/tests/router/test_chat_body.cpp
@@ -22,7 +22,11 @@
     CHECK(body->max_tokens == 77);
     REQUIRE(body->opening_messages.size() == 2);
     CHECK(body->opening_messages[0] == "be short");
-    CHECK(body->opening_messages[1] == R"(one \"quoted\\)");
+    CHECK(body->opening_messages[1] == R"(one "quoted\)");
+    CHECK_FALSE(body->is_deterministic);
+    CHECK(router::read_chat_body(R"({"temperature":0})")->is_deterministic);
+    CHECK(router::read_chat_body(R"({"temperature":0.0})")->is_deterministic);
+    CHECK_FALSE(router::read_chat_body("{}")->is_deterministic);
 }
 
 TEST_CASE(
@@ -41,7 +45,7 @@
             changed[at] = put;
             const auto body = router::read_chat_body(changed);
             if (body)
-                for (const auto message : body->opening_messages)
+                for (const auto& message : body->opening_messages)
                     CHECK(message.size() < changed.size());
         }
 }
