Let the held answer of a test end before the exchange it belongs to

Cause: under the address and undefined behaviour sanitizers a test's fixture kept a callback, and with it an exchange, longer than the answer that the exchange writes to. Change: the test lets go of the callback. Figures: the sanitizers pass this test; before, they stopped there. Conclusion: a fault of the test, not of the administration API.

--- a/tests/admin/test_admin_handler.cpp
+++ b/tests/admin/test_admin_handler.cpp
@@ -249,7 +249,9 @@
         http::header_list{{"authorization", "Bearer write"}}));
     CHECK_FALSE(answer.status);
     CHECK(this->events.events.empty());
-    this->configuration.held({config::change_status::accepted, 9, {}});
+    auto held = std::exchange(this->configuration.held, nullptr);
+    held({config::change_status::accepted, 9, {}});
+    held = nullptr;
     CHECK(answer.status == 200);
     CHECK(this->events.events.back().at("to_version") == 9);
 }
