--- a/src/router/chat_body.cpp
+++ b/src/router/chat_body.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-using simdjson::dom::element;
 using simdjson::dom::object;
 
 // Empty if the field is missing or no string.
