--- a/src/request/request_state.cpp
+++ b/src/request/request_state.cpp
@@ -170,7 +170,7 @@
         return this->give_up(error_kind::answer_truncated);
     if (!resuming)
         this->advance(step::stream_broken);
-    if (resuming || this->resumed_here)
+    if (this->properties.rest_elsewhere && (resuming || this->resumed_here))
         return this->resume_elsewhere();
     ++this->resumes;
     this->resumed_here = true;
@@ -178,8 +178,6 @@
 }
 
 decision request_state::resume_elsewhere() {
-    if (!this->properties.rest_elsewhere)
-        return this->give_up(error_kind::answer_truncated);
     this->resumed_here = false;
     return this->try_elsewhere(step::resume_elsewhere);
 }
--- a/src/request/request_state.hpp
+++ b/src/request/request_state.hpp
@@ -95,8 +95,8 @@
     // Bytes of the answer were passed to the caller.
     decision passed(std::uint64_t bytes);
 
-    // The stream broke, or its rest could not be had: the same target is asked once for the rest,
-    // then others.
+    // The stream broke, or its rest could not be had: the same target is asked for the rest, and
+    // after one failure others if they can give it.
     decision stream_broken(helpers::time_point now);
 
     // The resumed stream continues.
