--- a/tests/ownership/fake_region.hpp
+++ b/tests/ownership/fake_region.hpp
@@ -1,5 +1,5 @@
 // Routers of one region with their share managers over an in-memory network that loses, delays and
-// parts messages; routers can crash, sleep and wake. What each router believes of the others is
+// parts messages; routers can crash, pause and wake. What each router believes of the others is
 // set by the test. After every step the region checks that no target bears more than its capacity.
 #pragma once
 
@@ -17,7 +17,7 @@
 
 namespace samphirespool::tests {
 
-// The loop of one process: while the process sleeps its due tasks pile up.
+// The loop of one process: while the process is paused its due tasks pile up.
 class process_loop final : public kernel::loop {
 public:
     explicit process_loop(kernel::manual_loop& base) : base(base) {}
@@ -32,9 +32,9 @@
         return id;
     }
     void cancel(kernel::timer_id id) override { this->tasks.erase(id); }
-    void sleep() { this->asleep = true; }
+    void pause() { this->paused = true; }
     void wake() {
-        this->asleep = false;
+        this->paused = false;
         const auto due = std::exchange(this->backlog, {});
         for (const auto id : due)
             this->run(id);
@@ -42,7 +42,7 @@
 
 private:
     void run(kernel::timer_id id) {
-        if (this->asleep) {
+        if (this->paused) {
             this->backlog.push_back(id);
             return;
         }
@@ -56,7 +56,7 @@
     std::map<kernel::timer_id, kernel::task> tasks;
     std::vector<kernel::timer_id> backlog;
     kernel::timer_id last_id = 0;
-    bool asleep = false;
+    bool paused = false;
 };
 
 struct region_shape {
@@ -152,12 +152,12 @@
     }
 
     void crash(std::size_t index) { this->routers.erase(index); }
-    void sleep(std::size_t index) {
-        this->asleep.insert(index);
-        this->at(index).loop.sleep();
+    void pause(std::size_t index) {
+        this->paused.insert(index);
+        this->at(index).loop.pause();
     }
     void wake(std::size_t index) {
-        this->asleep.erase(index);
+        this->paused.erase(index);
         this->at(index).loop.wake();
     }
     router& at(std::size_t index) { return *this->routers.at(index); }
@@ -224,7 +224,7 @@
     }
     void finish_one(std::size_t at,
                     admission::release::result how = admission::release::result::success) {
-        if (!this->routers.contains(at) || this->asleep.contains(at))
+        if (!this->routers.contains(at) || this->paused.contains(at))
             return;
         for (auto& [target, grants] : this->at(at).in_use) {
             if (grants.empty())
@@ -315,7 +315,7 @@
     membership::roster roster;
     std::map<std::size_t, std::unique_ptr<router>> routers;
     std::map<std::size_t, std::uint64_t> lives;
-    std::set<std::size_t> asleep;
+    std::set<std::size_t> paused;
     double loss = 0;
     helpers::duration longest_delay = std::chrono::milliseconds(3);
     std::function<bool(std::size_t, std::size_t)> connected = [](auto, auto) { return true; };
--- a/tests/ownership/random_schedule.hpp
+++ b/tests/ownership/random_schedule.hpp
@@ -39,7 +39,7 @@
 
     std::size_t any() { return this->random.below(this->size); }
     bool awake(std::size_t index) {
-        return this->region.routers.contains(index) && !this->region.asleep.contains(index);
+        return this->region.routers.contains(index) && !this->region.paused.contains(index);
     }
 
     void load() {
@@ -63,7 +63,7 @@
             this->crash();
             break;
         case 1:
-            this->sleep();
+            this->pause();
             break;
         case 2:
             this->part();
@@ -112,15 +112,15 @@
         });
     }
 
-    void sleep() {
+    void pause() {
         const auto index = this->any();
         if (!this->awake(index))
             return;
-        this->region.sleep(index);
+        this->region.pause(index);
         this->tell(index, health::dead, std::chrono::milliseconds(3000));
         const std::chrono::milliseconds pause(100 + this->random.below(9000));
         this->region.loop.schedule(pause, [this, index] {
-            if (!this->region.asleep.contains(index))
+            if (!this->region.paused.contains(index))
                 return;
             this->region.wake(index);
             this->tell(index, health::alive, std::chrono::milliseconds(1000));
@@ -147,7 +147,7 @@
     // force only after every router has the first and confirmed it.
     void change_roster() {
         const auto all_there =
-            this->region.asleep.empty() && this->region.routers.size() == this->size;
+            this->region.paused.empty() && this->region.routers.size() == this->size;
         if (!all_there || this->region.loop.time().now() < this->calm)
             return;
         if (this->region.roster.settled)
--- a/tests/ownership/test_share_leases.cpp
+++ b/tests/ownership/test_share_leases.cpp
@@ -130,7 +130,7 @@
     region.request(owner);
     region.run(100ms);
     REQUIRE(region.in_use(owner) == 2);
-    region.sleep(owner);
+    region.pause(owner);
     region.run(1500ms);
     region.judge_all(owner, member_health::dead);
     request_everywhere(region, 3);
@@ -155,8 +155,8 @@
     region.run(100ms);
     CHECK(region.in_use() == 8);
     const auto lost = owner / 2;
-    region.sleep(2 * lost);
-    region.sleep(2 * lost + 1);
+    region.pause(2 * lost);
+    region.pause(2 * lost + 1);
     region.run(1500ms);
     region.judge_all(2 * lost, member_health::dead);
     region.judge_all(2 * lost + 1, member_health::dead);
