Serve the platform's callers with a gateway: feeds, routes, placement, dispatch

Cause: nothing of the project spoke the platform's protocol. The router's share leases, relays and claims answer questions that the platform's store and its kinds of request do not ask. Change: a gateway daemon of its own folders (routing, discovery, gateway), pure parts for load, allowances and choice of target, and platform/ as the only place that spells the platform's names. The HTTP server refuses heads that two parties may read differently, the client tells a reset from the end of an answer without a length.

--- /dev/null
+++ b/src/admission/fleet_share.cpp
@@ -0,0 +1,84 @@
+// Divides the allowances.
+#include "admission/fleet_share.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace samphirespool::admission {
+
+namespace {
+
+// Part of an allowance that is handed out; the rest covers gateways that others do not know yet.
+constexpr double handed_out = 0.85;
+
+std::uint64_t rank_of(std::string_view target, std::string_view member) {
+    return helpers::hash_name(std::string(target).append("|").append(member));
+}
+
+} // namespace
+
+repeat_budget::usage& repeat_budget::advance(helpers::service_id service, helpers::time_point now) {
+    auto& used = this->services[service];
+    const auto slice = this->limits.window / static_cast<std::int64_t>(slices);
+    const auto current = now.time_since_epoch() / slice;
+    const auto count = static_cast<std::int64_t>(used.requests.size());
+    for (auto passed = std::max(used.newest + 1, current - count + 1); passed <= current;
+         ++passed) {
+        const auto index = static_cast<std::size_t>(passed % count);
+        used.requests.at(index) = 0;
+        used.repeats.at(index) = 0;
+    }
+    used.newest = std::max(used.newest, current);
+    return used;
+}
+
+void repeat_budget::note_request(helpers::service_id service, helpers::time_point now) {
+    auto& used = this->advance(service, now);
+    ++used.requests.at(static_cast<std::size_t>(used.newest) % used.requests.size());
+}
+
+bool repeat_budget::take(helpers::service_id service, helpers::time_point now) {
+    auto& used = this->advance(service, now);
+    const auto requests = std::accumulate(used.requests.begin(), used.requests.end(), 0U);
+    const auto repeats = std::accumulate(used.repeats.begin(), used.repeats.end(), 0U);
+    const auto burst = this->limits.burst * handed_out /
+                       static_cast<double>(std::max<std::size_t>(1, this->members));
+    const auto allowed = this->limits.ratio * handed_out * requests + burst;
+    if (repeats + 1 > allowed)
+        return false;
+    ++used.repeats.at(static_cast<std::size_t>(used.newest) % used.repeats.size());
+    return true;
+}
+
+void cold_allowance::set_members(std::vector<std::string> names) {
+    this->members = std::move(names);
+    if (std::find(this->members.begin(), this->members.end(), this->self) == this->members.end())
+        this->members.push_back(this->self);
+}
+
+// With fewer gateways than allowed requests each gets an equal number. With more, those that rank
+// first for the target get one each.
+std::size_t cold_allowance::share_of(std::string_view target, double rate) const {
+    const auto whole =
+        std::max(1.0, std::floor((rate * this->limits.overage + this->limits.slack) * handed_out));
+    const auto total = static_cast<std::size_t>(whole);
+    const auto count = std::max<std::size_t>(1, this->members.size());
+    if (count <= total)
+        return total / count;
+    const auto own = rank_of(target, this->self);
+    const auto before =
+        std::count_if(this->members.begin(), this->members.end(),
+                      [&](const std::string& member) { return rank_of(target, member) < own; });
+    return static_cast<std::size_t>(before) < total ? 1 : 0;
+}
+
+bool cold_allowance::may_send(std::string_view target, double rate,
+                              const std::deque<helpers::time_point>& sent,
+                              helpers::time_point now) const {
+    const auto recent = std::count_if(sent.begin(), sent.end(),
+                                      [now](helpers::time_point at) { return now - at < window; });
+    return static_cast<std::size_t>(recent) < this->share_of(target, rate);
+}
+
+} // namespace samphirespool::admission
--- /dev/null
+++ b/src/admission/fleet_share.hpp
@@ -0,0 +1,83 @@
+// This process's part of allowances that all gateways share without messages: repeats of requests
+// for a service, and requests to a cold target. The parts add up to less than the whole while the
+// gateways' lists of each other differ by a few.
+#pragma once
+
+#include "helpers/ids.hpp"
+#include "helpers/time.hpp"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace samphirespool::admission {
+
+struct repeat_limits {
+    // Repeats for each request, over the window.
+    double ratio = 0.2;
+    // Repeats beyond that, of the whole fleet.
+    double burst = 50;
+    helpers::duration window = std::chrono::seconds(10);
+};
+
+class repeat_budget {
+public:
+    explicit repeat_budget(const repeat_limits& limits) : limits(limits) {}
+
+    void set_fleet_size(std::size_t members) { this->members = members; }
+    void note_request(helpers::service_id service, helpers::time_point now);
+
+    // Counts a repeat if the budget allows it.
+    bool take(helpers::service_id service, helpers::time_point now);
+
+private:
+    static constexpr std::size_t slices = 10;
+
+    struct usage {
+        // A slice more than the window, as the oldest one has only partly passed.
+        std::array<std::uint32_t, slices + 1> requests{};
+        std::array<std::uint32_t, slices + 1> repeats{};
+        std::int64_t newest = 0;
+    };
+
+    usage& advance(helpers::service_id service, helpers::time_point now);
+
+    repeat_limits limits;
+    std::size_t members = 1;
+    std::unordered_map<helpers::service_id, usage> services;
+};
+
+struct cold_limits {
+    // Of the rate that the service states, and requests beyond it, over one second.
+    double overage = 1.0;
+    double slack = 0;
+};
+
+class cold_allowance {
+public:
+    cold_allowance(std::string self, const cold_limits& limits)
+        : self(std::move(self)), limits(limits) {}
+
+    void set_members(std::vector<std::string> names);
+
+    // Whether this process may send to the cold target now. Times of sends are kept by the caller.
+    bool may_send(std::string_view target, double rate, const std::deque<helpers::time_point>& sent,
+                  helpers::time_point now) const;
+
+    // A little more than the second over which the rate holds, as messages take their time.
+    static constexpr helpers::duration window = std::chrono::milliseconds(1150);
+
+private:
+    std::size_t share_of(std::string_view target, double rate) const;
+
+    std::string self;
+    cold_limits limits;
+    // Includes this process.
+    std::vector<std::string> members;
+};
+
+} // namespace samphirespool::admission
--- /dev/null
+++ b/src/admission/target_load.cpp
@@ -0,0 +1,74 @@
+// Bookkeeping of one target's load and failures.
+#include "admission/target_load.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace samphirespool::admission {
+
+namespace {
+
+// A report loses half of its weight in this time; requests last about as long.
+constexpr double half_life_s = 1.0;
+constexpr helpers::duration first_ejection = std::chrono::milliseconds(700);
+constexpr helpers::duration longest_ejection = std::chrono::seconds(5);
+constexpr std::uint32_t most_doublings = 4;
+
+} // namespace
+
+void target_load::sent(std::uint64_t prompt_tokens, helpers::time_point now) {
+    ++this->running;
+    this->backlog += prompt_tokens;
+    this->sends.push_back(now);
+    if (this->sends.size() > kept_sends)
+        this->sends.pop_front();
+}
+
+void target_load::prompt_done(std::uint64_t prompt_tokens) {
+    this->backlog -= std::min(this->backlog, prompt_tokens);
+}
+
+void target_load::ended() {
+    if (this->running > 0)
+        --this->running;
+}
+
+void target_load::report(const load_report& given, helpers::time_point now) {
+    const auto total = static_cast<double>(given.running) + given.waiting;
+    this->reported_others = std::max(0.0, total - this->running);
+    this->reported_at = now;
+    this->has_report = true;
+}
+
+double target_load::others(double usual, helpers::time_point now) const {
+    if (!this->has_report)
+        return usual;
+    const std::chrono::duration<double> age = now - this->reported_at;
+    const auto weight = std::exp2(-age.count() / half_life_s);
+    return this->reported_others * weight + usual * (1 - weight);
+}
+
+double target_load::estimate(double usual, helpers::time_point now) const {
+    return this->running + this->others(usual, now);
+}
+
+void target_load::succeeded() {
+    this->failures = 0;
+    this->ejected_until = {};
+}
+
+void target_load::failed(helpers::time_point now) {
+    ++this->failures;
+    if (this->failures < failures_to_eject)
+        return;
+    const auto doublings = std::min(this->failures - failures_to_eject, most_doublings);
+    this->ejected_until = now + std::min(first_ejection * (1U << doublings), longest_ejection);
+}
+
+bool target_load::is_ejected(helpers::time_point now) const {
+    if (now < this->ejected_until)
+        return true;
+    return this->is_on_trial() && this->running > 0;
+}
+
+} // namespace samphirespool::admission
--- /dev/null
+++ b/src/admission/target_load.hpp
@@ -0,0 +1,60 @@
+// What this process knows of the load and soundness of one target: its own requests there exactly,
+// those of others from the target's reports, which age.
+#pragma once
+
+#include "helpers/time.hpp"
+
+#include <cstdint>
+#include <deque>
+
+namespace samphirespool::admission {
+
+struct load_report {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+class target_load {
+public:
+    void sent(std::uint64_t prompt_tokens, helpers::time_point now);
+    // The prompt was read: the first part of the answer is here, or the request has ended.
+    void prompt_done(std::uint64_t prompt_tokens);
+    void ended();
+
+    void report(const load_report& given, helpers::time_point now);
+
+    // Requests there, of everyone. What others have there is taken for `usual` where no report
+    // says more.
+    double estimate(double usual, helpers::time_point now) const;
+    // Others' requests by the newest report, or nothing known.
+    double others(double usual, helpers::time_point now) const;
+    std::uint32_t own() const { return this->running; }
+    std::uint64_t prompt_backlog() const { return this->backlog; }
+
+    // Results of requests. A target that fails repeatedly gets nothing for a growing time, and then
+    // one request to try it.
+    void succeeded();
+    void failed(helpers::time_point now);
+    bool is_ejected(helpers::time_point now) const;
+    // Was ejected and is due for a trial, of which one is allowed at a time.
+    bool is_on_trial() const { return this->failures >= failures_to_eject; }
+
+    const std::deque<helpers::time_point>& recent_sends() const { return this->sends; }
+
+private:
+    // Two failures in a row with no success between are rarely chance.
+    static constexpr std::uint32_t failures_to_eject = 2;
+    static constexpr std::size_t kept_sends = 32;
+
+    std::uint32_t running = 0;
+    std::uint64_t backlog = 0;
+    double reported_others = 0;
+    helpers::time_point reported_at{};
+    bool has_report = false;
+    std::uint32_t failures = 0;
+    helpers::time_point ejected_until{};
+    std::deque<helpers::time_point> sends;
+};
+
+} // namespace samphirespool::admission
--- a/src/debug/json_log.cpp
+++ b/src/debug/json_log.cpp
@@ -3,11 +3,14 @@
 
 #include "debug/json_line.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <climits>
 #include <cstring>
 #include <fcntl.h>
 #include <glog/logging.h>
+#include <poll.h>
 #include <unistd.h>
 
 namespace samphirespool::debug {
@@ -27,18 +30,58 @@
         google::InitGoogleLogging("samphirespool");
 }
 
-// The end of a line's file: a descriptor that is closed with it unless it is standard error.
+// Lines wait here until the reader takes them, so that a slow one does not stop the process. What
+// does not fit is counted as lost.
 class line_output {
 public:
-    explicit line_output(int descriptor) : descriptor(descriptor) {}
+    line_output(int descriptor, bool is_buffered)
+        : descriptor(descriptor), is_buffered(is_buffered) {}
     ~line_output() {
-        if (this->descriptor != STDERR_FILENO)
+        this->flush();
+        if (this->descriptor > STDERR_FILENO)
             ::close(this->descriptor);
     }
     line_output(const line_output&) = delete;
     line_output& operator=(const line_output&) = delete;
 
     void write(std::string_view line) {
+        if (!this->is_buffered) {
+            this->write_now(line);
+            return;
+        }
+        if (this->waiting.size() + line.size() > max_waiting_bytes) {
+            ++this->lost;
+            return;
+        }
+        this->waiting.append(line);
+        if (this->waiting.size() >= flush_bytes)
+            this->flush();
+    }
+
+    // Writes what the descriptor takes without waiting. A pipe that is writable takes PIPE_BUF
+    // bytes.
+    void flush() {
+        std::size_t done = 0;
+        while (done < this->waiting.size()) {
+            pollfd entry{this->descriptor, POLLOUT, 0};
+            if (::poll(&entry, 1, 0) <= 0 || (entry.revents & POLLOUT) == 0)
+                break;
+            const auto size = std::min<std::size_t>(PIPE_BUF, this->waiting.size() - done);
+            const auto count = ::write(this->descriptor, this->waiting.data() + done, size);
+            if (count <= 0)
+                break;
+            done += static_cast<std::size_t>(count);
+        }
+        this->waiting.erase(0, done);
+    }
+
+    std::uint64_t lost_lines() const { return this->lost; }
+
+private:
+    static constexpr std::size_t max_waiting_bytes = std::size_t{256} << 10;
+    static constexpr std::size_t flush_bytes = 3072;
+
+    void write_now(std::string_view line) {
         while (!line.empty()) {
             const auto count = ::write(this->descriptor, line.data(), line.size());
             if (count < 0 && errno == EINTR)
@@ -51,10 +94,9 @@
         }
     }
 
-    std::uint64_t lost_lines() const { return this->lost; }
-
-private:
     int descriptor;
+    bool is_buffered;
+    std::string waiting;
     std::uint64_t lost = 0;
 };
 
@@ -108,11 +150,11 @@
 class json_log::glog_sinks final : public google::LogSink {
 public:
     glog_sinks(json_log_options options, kernel::hybrid_clock& order, const kernel::clock& time,
-               int descriptor)
+               int descriptor, bool is_buffered)
         : options(std::move(options)),
           order(order),
           time(time),
-          output(descriptor),
+          output(descriptor, is_buffered),
           event_lines(output) {
         google::AddLogSink(this);
     }
@@ -156,6 +198,7 @@
     }
 
     std::uint64_t lost_lines() const { return this->output.lost_lines(); }
+    void flush() { this->output.flush(); }
 
 private:
     json_log_options options;
@@ -169,15 +212,18 @@
                                          const kernel::clock& time, kernel::error& reason) {
     constexpr int file_mode = 0640;
     const auto flags = O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC;
+    const bool is_buffered = options.to_standard_output;
+    const int standard = is_buffered ? STDOUT_FILENO : STDERR_FILENO;
     const int descriptor =
-        options.file.empty() ? STDERR_FILENO : ::open(options.file.c_str(), flags, file_mode);
+        options.file.empty() ? standard : ::open(options.file.c_str(), flags, file_mode);
     if (descriptor < 0) {
         reason = {kernel::error_kind::invalid_settings,
                   "log file " + options.file + ": " + std::strerror(errno)};
         return nullptr;
     }
     initialize_glog();
-    auto sinks = std::make_unique<glog_sinks>(std::move(options), order, time, descriptor);
+    auto sinks =
+        std::make_unique<glog_sinks>(std::move(options), order, time, descriptor, is_buffered);
     return std::unique_ptr<json_log>(new json_log(std::move(sinks)));
 }
 
@@ -211,6 +257,10 @@
     this->sinks->write_event(std::move(line));
 }
 
+void json_log::flush() {
+    this->sinks->flush();
+}
+
 std::uint64_t json_log::lost_lines() const {
     return this->sinks->lost_lines();
 }
--- a/src/debug/json_log.hpp
+++ b/src/debug/json_log.hpp
@@ -24,9 +24,12 @@
 
 struct json_log_options {
     std::string process;
-    // Empty: standard error.
+    // Empty: standard error, or standard output if that is wanted.
     std::string file;
     kernel::severity least_level = kernel::severity::info;
+    // Lines go to standard output without ever waiting for its reader; they are kept in a bounded
+    // buffer meanwhile, and those that do not fit are lost and counted.
+    bool to_standard_output = false;
 };
 
 // A process has one at a time, as glog's settings are global. glog's own output to files and
@@ -42,6 +45,9 @@
                const std::optional<helpers::request_id>& request,
                std::initializer_list<kernel::event_field> fields) override;
 
+    // Writes buffered lines as far as they are taken at once.
+    void flush();
+
     // Lines that the file or standard error did not take.
     std::uint64_t lost_lines() const;
 
--- /dev/null
+++ b/src/gateway/dispatcher.cpp
@@ -0,0 +1,228 @@
+// Assigns targets, at once or from the queue.
+#include "gateway/dispatcher.hpp"
+
+#include <algorithm>
+
+namespace samphirespool::gateway {
+
+namespace {
+
+// How often the queue is looked at while no event frees a target; reports age meanwhile.
+constexpr helpers::duration queue_interval = std::chrono::milliseconds(15);
+// Waiting requests that find no target before the rest is left for later, as those behind want
+// mostly the same targets.
+constexpr int most_misses = 6;
+// Weight of a new report in the mean over a service's targets.
+constexpr double report_weight = 0.1;
+// A target this new holds nothing of earlier prompts.
+constexpr helpers::duration newness = std::chrono::seconds(3);
+constexpr std::size_t loads_kept = 4096;
+constexpr std::uint32_t default_slots = 1;
+// Requests that may wait at a plain target beyond its slots, as parts of the slots.
+constexpr double plain_overfill = 1.0;
+
+} // namespace
+
+dispatcher::dispatcher(kernel::loop& loop, kernel::random_source& random,
+                       discovery::target_catalog& catalog, const dispatch_settings& settings)
+    : loop(loop),
+      random(random),
+      catalog(catalog),
+      settings(settings),
+      budget(settings.repeats),
+      cold(settings.self, settings.cold) {
+    this->cold.set_members({settings.self});
+}
+
+dispatcher::~dispatcher() {
+    this->loop.cancel(this->timer);
+}
+
+void dispatcher::set_members(std::vector<std::string> names) {
+    this->budget.set_fleet_size(std::max<std::size_t>(1, names.size()));
+    this->cold.set_members(std::move(names));
+}
+
+dispatcher::service_state& dispatcher::state_of(helpers::service_id service) {
+    auto& state = this->services[service];
+    if (state.choice == nullptr) {
+        const auto* known = this->table ? this->table->find_service(service) : nullptr;
+        const bool has_engines = known != nullptr && known->engine.has_value();
+        state.choice = placement::target_choices::instance().make(
+            has_engines ? this->settings.engine_choice : this->settings.plain_choice, this->random);
+    }
+    return state;
+}
+
+admission::target_load& dispatcher::load_of(const discovery::known_target& target) {
+    return this->loads[target.serial];
+}
+
+bool dispatcher::may_take(const discovery::known_target& target, const dispatch_ticket& wanted,
+                          helpers::time_point now) {
+    if (!this->catalog.may_get_work(target))
+        return false;
+    if (std::find(wanted.tried.begin(), wanted.tried.end(), target.serial) != wanted.tried.end())
+        return false;
+    auto& load = this->load_of(target);
+    if (load.is_ejected(now))
+        return false;
+    if (now >= target.cold_until)
+        return true;
+    const auto* service = this->table ? this->table->find_service(target.facts.service) : nullptr;
+    if (service == nullptr || service->cold_per_second <= 0)
+        return true;
+    return this->cold.may_send(target.facts.name, service->cold_per_second, load.recent_sends(),
+                               now);
+}
+
+placement::choice_target dispatcher::view_of(const discovery::known_target& target, double usual,
+                                             helpers::time_point now) {
+    const auto& load = this->load_of(target);
+    placement::choice_target view;
+    view.serial = target.serial;
+    view.name = target.facts.name;
+    view.load = load.estimate(usual, now);
+    view.slots = std::max(default_slots, target.facts.slots);
+    view.prompt_backlog = load.prompt_backlog();
+    view.same_data_centre = target.facts.data_centre == this->settings.data_centre;
+    view.is_new = now < target.cold_until || now - target.added_at < newness;
+    return view;
+}
+
+std::vector<placement::choice_target>
+dispatcher::candidates(const dispatch_ticket& wanted,
+                       std::vector<std::shared_ptr<discovery::known_target>>& kept) {
+    const auto now = this->loop.time().now();
+    const auto& state = this->state_of(wanted.service);
+    const auto* service = this->table ? this->table->find_service(wanted.service) : nullptr;
+    const bool has_engines = service != nullptr && service->engine.has_value();
+    std::vector<placement::choice_target> result;
+    for (const auto& target : this->catalog.targets_of(wanted.service)) {
+        if (!this->may_take(*target, wanted, now))
+            continue;
+        const auto view = this->view_of(*target, state.usual, now);
+        if (view.load >= view.slots * (has_engines ? 1.0 : 1.0 + plain_overfill))
+            continue;
+        result.push_back(view);
+        kept.push_back(target);
+    }
+    return result;
+}
+
+dispatcher::verdict dispatcher::try_assign(dispatch_ticket& wanted) {
+    std::vector<std::shared_ptr<discovery::known_target>> kept;
+    const auto among = this->candidates(wanted, kept);
+    if (among.empty()) {
+        const auto all = this->catalog.targets_of(wanted.service);
+        const bool any = std::any_of(all.begin(), all.end(), [this](const auto& each) {
+            return this->catalog.may_get_work(*each);
+        });
+        return any ? verdict::wait : verdict::none_exists;
+    }
+    const auto now = this->loop.time().now();
+    auto& state = this->state_of(wanted.service);
+    const auto chosen = state.choice->choose(*wanted.prompt, among, now);
+    if (!chosen)
+        return verdict::wait;
+    const auto& target = kept[*chosen];
+    state.choice->placed(*wanted.prompt, target->serial, now);
+    assignment made{target, wanted.prompt->tokens()};
+    this->load_of(*target).sent(made.prompt_tokens, now);
+    wanted.assigned(std::move(made));
+    return verdict::assigned;
+}
+
+dispatcher::ticket_id dispatcher::ask(dispatch_ticket wanted) {
+    switch (this->try_assign(wanted)) {
+    case verdict::assigned:
+        return 0;
+    case verdict::none_exists:
+        wanted.refused({kernel::error_kind::no_target, "no target of the service takes work"});
+        return 0;
+    case verdict::wait:
+        break;
+    }
+    if (this->queue.size() >= this->settings.max_waiting) {
+        wanted.refused({kernel::error_kind::queue_full, "too many requests wait"});
+        return 0;
+    }
+    const auto id = ++this->last_ticket;
+    this->queue.emplace(queue_key{wanted.priority, id}, std::move(wanted));
+    if (this->timer == 0)
+        this->timer = this->loop.schedule(queue_interval, [this] { this->tick(); });
+    return id;
+}
+
+void dispatcher::withdraw(ticket_id id) {
+    std::erase_if(this->queue, [id](const auto& entry) { return entry.first.second == id; });
+}
+
+void dispatcher::serve_waiting() {
+    if (this->serving)
+        return;
+    this->serving = true;
+    const auto now = this->loop.time().now();
+    std::unordered_map<helpers::service_id, int> misses;
+    for (auto next = this->queue.begin(); next != this->queue.end();) {
+        const auto key = next->first;
+        auto node = this->queue.extract(next);
+        auto& wanted = node.mapped();
+        if (now >= wanted.wait_until) {
+            wanted.refused({kernel::error_kind::queue_full, "no target became free in time"});
+        } else if (misses[wanted.service] >= most_misses) {
+            this->queue.insert(std::move(node));
+        } else if (this->try_assign(wanted) != verdict::assigned) {
+            ++misses[wanted.service];
+            this->queue.insert(std::move(node));
+        }
+        next = this->queue.upper_bound(key);
+    }
+    this->serving = false;
+}
+
+void dispatcher::tick() {
+    this->timer = 0;
+    this->serve_waiting();
+    if (!this->queue.empty() && this->timer == 0)
+        this->timer = this->loop.schedule(queue_interval, [this] { this->tick(); });
+}
+
+void dispatcher::on_load(const assignment& at, const admission::load_report& report) {
+    const auto now = this->loop.time().now();
+    auto& load = this->load_of(*at.target);
+    load.report(report, now);
+    auto& usual = this->state_of(at.target->facts.service).usual;
+    usual += report_weight * (load.others(usual, now) - usual);
+}
+
+void dispatcher::on_prompt_done(assignment& at) {
+    if (!std::exchange(at.prompt_pending, false))
+        return;
+    this->load_of(*at.target).prompt_done(at.prompt_tokens);
+}
+
+void dispatcher::on_suspicion(const assignment& at) {
+    this->load_of(*at.target).failed(this->loop.time().now());
+}
+
+void dispatcher::on_ended(assignment& at, result how) {
+    this->on_prompt_done(at);
+    auto& load = this->load_of(*at.target);
+    load.ended();
+    if (how == result::succeeded)
+        load.succeeded();
+    if (how == result::failed)
+        load.failed(this->loop.time().now());
+    this->forget_old_loads();
+    if (!this->queue.empty())
+        this->loop.post([this] { this->serve_waiting(); });
+}
+
+void dispatcher::forget_old_loads() {
+    if (this->loads.size() <= loads_kept)
+        return;
+    std::erase_if(this->loads, [](const auto& entry) { return entry.second.own() == 0; });
+}
+
+} // namespace samphirespool::gateway
--- /dev/null
+++ b/src/gateway/dispatcher.hpp
@@ -0,0 +1,132 @@
+// Decides which target gets which request and when: the load and soundness of each target, the
+// shared allowances, and the queue of requests for which no target is free.
+#pragma once
+
+#include "admission/fleet_share.hpp"
+#include "admission/target_load.hpp"
+#include "discovery/target_catalog.hpp"
+#include "kernel/error.hpp"
+#include "kernel/loop.hpp"
+#include "placement/target_choice.hpp"
+#include "routing/route_table.hpp"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace samphirespool::gateway {
+
+// Where a request goes. Every assignment is reported as ended once.
+struct assignment {
+    std::shared_ptr<const discovery::known_target> target;
+    std::uint64_t prompt_tokens = 0;
+    bool prompt_pending = true;
+};
+
+enum class result : std::uint8_t {
+    succeeded,
+    failed,
+    // Says nothing about the target, for instance as the caller departed.
+    neutral,
+};
+
+struct dispatch_ticket {
+    helpers::service_id service;
+    const placement::prompt* prompt = nullptr;
+    std::uint32_t priority = 0;
+    // No longer of use after this.
+    helpers::time_point wait_until{};
+    // Targets that were tried before.
+    std::vector<std::uint64_t> tried;
+    std::function<void(assignment)> assigned;
+    std::function<void(kernel::error)> refused;
+};
+
+struct dispatch_settings {
+    std::string self;
+    std::string data_centre;
+    std::string engine_choice = "shared_part";
+    std::string plain_choice = "least_loaded";
+    std::size_t max_waiting = 2000;
+    admission::repeat_limits repeats;
+    admission::cold_limits cold;
+};
+
+class dispatcher {
+public:
+    dispatcher(kernel::loop& loop, kernel::random_source& random,
+               discovery::target_catalog& catalog, const dispatch_settings& settings);
+    ~dispatcher();
+    dispatcher(const dispatcher&) = delete;
+    dispatcher& operator=(const dispatcher&) = delete;
+
+    void set_table(std::shared_ptr<const routing::route_table> newest) {
+        this->table = std::move(newest);
+    }
+    void set_members(std::vector<std::string> names);
+
+    using ticket_id = std::uint64_t;
+
+    // One of the ticket's tasks runs, perhaps before this returns; then 0 is returned.
+    ticket_id ask(dispatch_ticket wanted);
+    void withdraw(ticket_id id);
+
+    void on_load(const assignment& at, const admission::load_report& report);
+    void on_prompt_done(assignment& at);
+    void on_suspicion(const assignment& at);
+    void on_ended(assignment& at, result how);
+
+    admission::repeat_budget& repeats() { return this->budget; }
+
+    // Gives waiting requests another chance; called when targets have changed.
+    void serve_waiting();
+    std::size_t waiting() const { return this->queue.size(); }
+
+private:
+    struct service_state {
+        std::unique_ptr<placement::target_choice> choice;
+        // Requests of other gateways on a target, as reports have shown lately.
+        double usual = 0;
+    };
+
+    enum class verdict : std::uint8_t {
+        assigned,
+        wait,
+        none_exists,
+    };
+
+    using queue_key = std::pair<std::uint32_t, ticket_id>;
+
+    verdict try_assign(dispatch_ticket& wanted);
+    service_state& state_of(helpers::service_id service);
+    std::vector<placement::choice_target>
+    candidates(const dispatch_ticket& wanted,
+               std::vector<std::shared_ptr<discovery::known_target>>& kept);
+    bool may_take(const discovery::known_target& target, const dispatch_ticket& wanted,
+                  helpers::time_point now);
+    placement::choice_target view_of(const discovery::known_target& target, double usual,
+                                     helpers::time_point now);
+    admission::target_load& load_of(const discovery::known_target& target);
+    void tick();
+    void forget_old_loads();
+
+    kernel::loop& loop;
+    kernel::random_source& random;
+    discovery::target_catalog& catalog;
+    dispatch_settings settings;
+    admission::repeat_budget budget;
+    admission::cold_allowance cold;
+    std::shared_ptr<const routing::route_table> table;
+    std::unordered_map<helpers::service_id, service_state> services;
+    std::unordered_map<std::uint64_t, admission::target_load> loads;
+    // Most urgent first, then in order of arrival.
+    std::map<queue_key, dispatch_ticket> queue;
+    ticket_id last_ticket = 0;
+    kernel::timer_id timer = 0;
+    bool serving = false;
+};
+
+} // namespace samphirespool::gateway
--- /dev/null
+++ b/src/gateway/documents.hpp
@@ -0,0 +1,24 @@
+// Reads the content of objects that others write into the gateway's types.
+#pragma once
+
+#include "discovery/target.hpp"
+#include "kernel/error.hpp"
+#include "routing/configuration.hpp"
+
+#include <optional>
+#include <string_view>
+
+namespace samphirespool::gateway {
+
+class documents {
+public:
+    virtual ~documents() = default;
+
+    // Each returns nothing, with the reason, if the content cannot be used.
+    virtual std::optional<routing::configuration>
+    read_configuration(std::string_view content, kernel::error& reason) const = 0;
+    virtual std::optional<discovery::target>
+    read_target(std::string_view name, std::string_view content, kernel::error& reason) const = 0;
+};
+
+} // namespace samphirespool::gateway
--- a/src/http/error_response.cpp
+++ b/src/http/error_response.cpp
@@ -9,6 +9,22 @@
 
 constexpr int ms_per_second = 1000;
 
+std::int64_t retry_after_ms(const error_response& error) {
+    if (error.retry_after)
+        return std::chrono::duration_cast<std::chrono::milliseconds>(*error.retry_after).count();
+    return std::int64_t{kernel::answer_for(error.reason.kind).retry_after_seconds} * ms_per_second;
+}
+
+// Seconds, with a fraction only if there is one.
+std::string seconds_text(std::int64_t milliseconds) {
+    constexpr int digits = 3;
+    const auto rest = std::to_string(milliseconds % ms_per_second);
+    auto text = std::to_string(milliseconds / ms_per_second);
+    if (rest != "0")
+        text.append(".").append(digits - rest.size(), '0').append(rest);
+    return text;
+}
+
 } // namespace
 
 std::string error_body(const error_response& error) {
@@ -19,7 +35,7 @@
     fields["message"] = error.reason.detail.empty() ? answer.code : error.reason.detail;
     fields["outcome"] = kernel::to_string(error.outcome);
     fields["request_id"] = error.request_id;
-    fields["retry_after_ms"] = answer.retry_after_seconds * ms_per_second;
+    fields["retry_after_ms"] = retry_after_ms(error);
     return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -29,8 +45,8 @@
                         {"x-outcome", std::string(kernel::to_string(error.outcome))}};
     if (!error.request_id.empty())
         headers.push_back({"x-request-id", error.request_id});
-    if (answer.retry_after_seconds != 0)
-        headers.push_back({"retry-after", std::to_string(answer.retry_after_seconds)});
+    if (const auto wait = retry_after_ms(error); wait > 0 || error.retry_after)
+        headers.push_back({"retry-after", seconds_text(wait)});
     caller.respond(answer.http_status, std::move(headers), error_body(error));
 }
 
--- a/src/http/error_response.hpp
+++ b/src/http/error_response.hpp
@@ -4,6 +4,7 @@
 #include "http/server.hpp"
 #include "kernel/error.hpp"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,8 @@
     kernel::request_outcome outcome = kernel::request_outcome::not_run;
     // Empty while the request has none yet.
     std::string request_id;
+    // When the caller should come back; nothing: as the table in kernel/error.cpp says.
+    std::optional<helpers::duration> retry_after;
 };
 
 // `{"error":{"code","message","outcome","request_id","retry_after_ms"}}`
--- a/src/http/h2o_call.cpp
+++ b/src/http/h2o_call.cpp
@@ -20,7 +20,7 @@
       listener(listener),
       to(request.to),
       is_head_method(request.method == "HEAD"),
-      connect_timeout(limits.connect_timeout),
+      connect_timeout(or_default(request.connect_timeout, limits.connect_timeout)),
       first_byte_timeout(or_default(request.first_byte_timeout, limits.first_byte_timeout)),
       idle_timeout(or_default(request.idle_timeout, limits.idle_timeout)),
       started(loop.time().now()) {
@@ -43,8 +43,9 @@
 
 void h2o_call::serialize(const client_request& request) {
     this->message.reserve(request.body.size() + 512);
-    this->message += request.method + " " + request.path +
-                     " HTTP/1.1\r\nhost: " + helpers::to_string(request.to) + "\r\n";
+    this->message += request.method + " " + request.path + " HTTP/1.1\r\nhost: " +
+                     (request.host.empty() ? helpers::to_string(request.to) : request.host) +
+                     "\r\n";
     for (const auto& field : request.headers)
         this->message.append(field.name).append(": ").append(field.value).append("\r\n");
     if (request.fresh_connection)
@@ -149,6 +150,8 @@
         received.push_back({std::string(headers[i].name->base, headers[i].name->len),
                             std::string(headers[i].value.base, headers[i].value.len)});
     self->is_chunked = http::find_header(received, "transfer-encoding").has_value();
+    self->ends_by_close =
+        !self->is_chunked && !http::find_header(received, "content-length").has_value();
     const bool body_follows =
         !is_end && native->sock->input->size > static_cast<std::size_t>(header_bytes);
     self->listener.on_head(status, received);
@@ -162,25 +165,25 @@
         return nullptr;
     }
     // h2o installs its reader after this. With body bytes at hand it calls on_body at once.
-    if (self->is_chunked && !body_follows)
+    if ((self->is_chunked || self->ends_by_close) && !body_follows)
         self->watch_timer = self->loop.schedule(helpers::duration::zero(), [self] {
             self->watch_timer = 0;
-            self->watch_chunked_body();
+            self->watch_body_end();
         });
     return on_body;
 }
 
-void h2o_call::watch_chunked_body() {
-    if (this->chunked_reader != nullptr || this->native == nullptr)
+void h2o_call::watch_body_end() {
+    if (this->body_reader != nullptr || this->native == nullptr)
         return;
     auto& reader =
         this->paused_reader != nullptr ? this->paused_reader : this->native->sock->_cb.read;
-    this->chunked_reader = std::exchange(reader, on_chunked_readable);
+    this->body_reader = std::exchange(reader, on_body_readable);
 }
 
-void h2o_call::on_chunked_readable(h2o_socket_t* socket, const char* error) {
+void h2o_call::on_body_readable(h2o_socket_t* socket, const char* error) {
     auto* self = static_cast<h2o_call*>(static_cast<h2o_http1client_t*>(socket->data)->data);
-    const auto reader = self->chunked_reader;
+    const auto reader = self->body_reader;
     if (error != nullptr && socket->bytes_read != 0) {
         // Bytes and end came together; h2o would not decode the bytes.
         bool gone = false;
@@ -193,7 +196,8 @@
             return;
         socket->bytes_read = 0;
     }
-    self->closed_by_target = error != nullptr;
+    // An answer without a length may end with its connection, but not with a reset.
+    self->broken_off = error != nullptr && (self->is_chunked || error != h2o_socket_error_closed);
     reader(socket, error);
 }
 
@@ -210,14 +214,14 @@
         h2o_buffer_consume(&native->sock->input, size);
     }
     if (error == nullptr) {
-        if (self->is_chunked)
-            self->watch_chunked_body();
+        if (self->is_chunked || self->ends_by_close)
+            self->watch_body_end();
         if (self->paused && self->paused_reader == nullptr)
             self->pause();
         return 0;
     }
     self->native = nullptr;
-    if (error != h2o_http1client_error_is_eos || self->closed_by_target) {
+    if (error != h2o_http1client_error_is_eos || self->broken_off) {
         self->fail(kernel::error_kind::answer_truncated, "the connection ended within the answer");
         return -1;
     }
--- a/src/http/h2o_call.hpp
+++ b/src/http/h2o_call.hpp
@@ -50,12 +50,12 @@
                                            int minor_version, int status, h2o_iovec_t message,
                                            h2o_header_t* headers, std::size_t count,
                                            int header_bytes);
-    // Stands before h2o's own reader of a chunked body, which takes a connection that ends between
-    // two chunks for the end of the answer.
-    static void on_chunked_readable(h2o_socket_t* socket, const char* error);
+    // Stands before h2o's own reader of a body. That one takes a connection that ends between two
+    // chunks for the end of the answer, and a reset for the end of an answer without a length.
+    static void on_body_readable(h2o_socket_t* socket, const char* error);
     static int on_body(h2o_http1client_t* native, const char* error);
 
-    void watch_chunked_body();
+    void watch_body_end();
     void fail(kernel::error_kind kind, std::string detail);
     void arm(helpers::duration wait);
     void on_timer();
@@ -83,11 +83,14 @@
     // The reader of the body while paused.
     h2o_socket_cb paused_reader = nullptr;
     bool is_chunked = false;
-    // h2o's own reader of a chunked body, behind on_chunked_readable.
-    h2o_socket_cb chunked_reader = nullptr;
-    bool closed_by_target = false;
+    // The answer has no length and ends with its connection.
+    bool ends_by_close = false;
+    // h2o's own reader of the body, behind on_body_readable.
+    h2o_socket_cb body_reader = nullptr;
+    // The connection ended where the answer could not end.
+    bool broken_off = false;
     kernel::timer_id watch_timer = 0;
-    // Set by the destructor while on_chunked_readable runs.
+    // Set by the destructor while on_body_readable runs.
     bool* destroyed = nullptr;
 };
 
--- a/src/http/h2o_exchange.cpp
+++ b/src/http/h2o_exchange.cpp
@@ -16,6 +16,7 @@
 h2o_exchange::h2o_exchange(h2o_req_t& request, response_stream& stream)
     : stream(&stream),
       method(to_string(request.input.method)),
+      authority(to_string(request.input.authority)),
       target(to_string(request.input.path)),
       body(to_string(request.entity)) {
     this->headers.reserve(request.headers.size);
@@ -39,7 +40,7 @@
     const auto mark = whole.find('?');
     const auto path = whole.substr(0, mark);
     const auto query = mark == std::string_view::npos ? std::string_view() : whole.substr(mark + 1);
-    return {this->method, path, query, this->body, this->headers};
+    return {this->method, this->authority, path, query, this->body, this->headers};
 }
 
 std::size_t h2o_exchange::header_bytes() const {
@@ -73,6 +74,11 @@
         this->stream->write_last({});
 }
 
+void h2o_exchange::close_connection_after() {
+    if (this->stream != nullptr)
+        this->stream->close_connection_after();
+}
+
 std::size_t h2o_exchange::buffered() const {
     return this->stream == nullptr ? 0 : this->stream->buffered();
 }
--- a/src/http/h2o_exchange.hpp
+++ b/src/http/h2o_exchange.hpp
@@ -20,6 +20,7 @@
     void begin(int status, header_list headers) override;
     void write(std::span<const char> data) override;
     void finish() override;
+    void close_connection_after() override;
     std::size_t buffered() const override;
     void on_drained(kernel::task work) override { this->drained = std::move(work); }
     void on_departed(kernel::task work) override { this->departed = std::move(work); }
@@ -35,6 +36,7 @@
     // Null once h2o has disposed of the request.
     response_stream* stream;
     std::string method;
+    std::string authority;
     // With query.
     std::string target;
     std::string body;
--- a/src/http/h2o_server.cpp
+++ b/src/http/h2o_server.cpp
@@ -3,6 +3,7 @@
 
 #include "http/error_response.hpp"
 #include "http/h2o_exchange.hpp"
+#include "http/request_head.hpp"
 #include "http/socket_address.hpp"
 
 #include <fcntl.h>
@@ -209,6 +210,14 @@
     static_cast<connection&>(record).partial_since.reset();
     auto* stream = response_stream::attach(request, this->loop, record);
     auto incoming = std::make_unique<h2o_exchange>(request, *stream);
+    const std::string_view received(socket->input->bytes, socket->input->size);
+    if (const auto fault = find_head_fault(received); fault != head_fault::none) {
+        // What follows on the connection cannot be told apart from this request.
+        incoming->close_connection_after();
+        respond_with_error(*incoming,
+                           {{kernel::error_kind::bad_request, std::string(to_string(fault))}});
+        return;
+    }
     if (incoming->header_bytes() > this->limits.max_header_bytes) {
         respond_with_error(*incoming, {{kernel::error_kind::header_too_large, ""}});
         return;
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -27,8 +27,12 @@
     std::string method = "GET";
     // Path with query.
     std::string path = "/";
+    // Value of the Host field; empty: the address in `to`.
+    std::string host;
     header_list headers;
     std::string body;
+    // Until the connection stands; zero means the client's default.
+    helpers::duration connect_timeout{};
     // From the call to the head of the answer; zero means the client's default.
     helpers::duration first_byte_timeout{};
     // Longest silence within the answer's body; zero means the client's default.
--- /dev/null
+++ b/src/http/request_head.cpp
@@ -0,0 +1,79 @@
+// Scans the lines of a request's head.
+#include "http/request_head.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace samphirespool::http {
+
+namespace {
+
+constexpr std::array<std::string_view, 7> descriptions{
+    "none",
+    "both content-length and transfer-encoding",
+    "more than one content-length",
+    "no host",
+    "more than one host",
+    "a line ends without a carriage return",
+    "a header field is folded",
+};
+
+bool is_named(std::string_view line, std::string_view name) {
+    if (line.size() <= name.size() || line[name.size()] != ':')
+        return false;
+    return std::equal(name.begin(), name.end(), line.begin(), [](char expected, char given) {
+        return expected == std::tolower(static_cast<unsigned char>(given));
+    });
+}
+
+struct field_counts {
+    int lengths = 0;
+    int encodings = 0;
+    int hosts = 0;
+
+    void add(std::string_view line) {
+        this->lengths += is_named(line, "content-length") ? 1 : 0;
+        this->encodings += is_named(line, "transfer-encoding") ? 1 : 0;
+        this->hosts += is_named(line, "host") ? 1 : 0;
+    }
+
+    head_fault fault() const {
+        if (this->lengths > 0 && this->encodings > 0)
+            return head_fault::length_and_encoding;
+        if (this->lengths > 1)
+            return head_fault::repeated_length;
+        if (this->hosts == 0)
+            return head_fault::no_host;
+        return this->hosts > 1 ? head_fault::repeated_host : head_fault::none;
+    }
+};
+
+} // namespace
+
+head_fault find_head_fault(std::string_view received) {
+    field_counts counts;
+    bool is_request_line = true;
+    while (true) {
+        const auto end = received.find('\n');
+        if (end == std::string_view::npos)
+            return counts.fault();
+        if (end == 0 || received[end - 1] != '\r')
+            return head_fault::bare_line_feed;
+        const auto line = received.substr(0, end - 1);
+        received.remove_prefix(end + 1);
+        if (line.empty() && !is_request_line)
+            return counts.fault();
+        if (!line.empty() && (line.front() == ' ' || line.front() == '\t'))
+            return head_fault::folded_field;
+        if (!is_request_line)
+            counts.add(line);
+        is_request_line = line.empty() && is_request_line;
+    }
+}
+
+std::string_view to_string(head_fault fault) {
+    return descriptions.at(static_cast<std::size_t>(fault));
+}
+
+} // namespace samphirespool::http
--- a/src/http/response_stream.hpp
+++ b/src/http/response_stream.hpp
@@ -44,6 +44,8 @@
     // Writes the rest and ends the answer.
     void write_last(std::string_view rest);
 
+    void close_connection_after() { this->request.http1_is_persistent = 0; }
+
     // Sends what was written and then breaks the connection.
     void break_off();
     bool begun() const { return this->has_begun; }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -14,6 +14,8 @@
 // The request of an exchange; views are valid as long as the exchange lives.
 struct server_request {
     std::string_view method;
+    // The Host field, with its port if there is one.
+    std::string_view authority;
     // Without query.
     std::string_view path;
     // Without the question mark.
@@ -37,6 +39,9 @@
     virtual void write(std::span<const char> data) = 0;
     virtual void finish() = 0;
 
+    // The connection takes no further request after this one's answer. Call it before the answer.
+    virtual void close_connection_after() {}
+
     // Bytes written and not yet taken by the connection.
     virtual std::size_t buffered() const = 0;
 
--- /dev/null
+++ b/src/placement/target_choice.hpp
@@ -0,0 +1,63 @@
+// Chooses the target of one request among those that may take it. Strategies register themselves
+// under a name.
+#pragma once
+
+#include "helpers/ids.hpp"
+#include "helpers/time.hpp"
+#include "kernel/random.hpp"
+#include "kernel/registry.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace samphirespool::placement {
+
+struct prompt_part {
+    std::uint64_t id = 0;
+    std::uint64_t tokens = 0;
+};
+
+struct prompt {
+    // In order. The last part is the request's own.
+    std::vector<prompt_part> parts;
+    std::uint64_t output_tokens = 0;
+
+    std::uint64_t tokens() const;
+    // The last part that other requests share; 0 if there is none.
+    std::uint64_t shared_part() const;
+    // Of all parts but the last.
+    std::uint64_t shared_tokens() const;
+};
+
+struct choice_target {
+    std::uint64_t serial = 0;
+    std::string_view name;
+    // Estimated requests there, and how many run at once.
+    double load = 0;
+    double slots = 1;
+    // Tokens of this process's prompts that it has not read yet.
+    std::uint64_t prompt_backlog = 0;
+    bool same_data_centre = false;
+    // Too new to hold anything of older prompts.
+    bool is_new = false;
+};
+
+class target_choice {
+public:
+    static constexpr std::string_view plug_in_kind = "target_choice";
+
+    virtual ~target_choice() = default;
+
+    // Index of the chosen target, or nothing if all should be left alone for now.
+    virtual std::optional<std::size_t>
+    choose(const prompt& wanted, std::span<const choice_target> among, helpers::time_point now) = 0;
+    // The request was sent there.
+    virtual void placed(const prompt&, std::uint64_t, helpers::time_point) {}
+};
+
+using target_choices = kernel::registry<target_choice, kernel::random_source&>;
+
+} // namespace samphirespool::placement
--- /dev/null
+++ b/src/routing/route_table.hpp
@@ -0,0 +1,43 @@
+// One version of the configuration, indexed for look-ups by host, path and key.
+#pragma once
+
+#include "kernel/error.hpp"
+#include "routing/configuration.hpp"
+
+#include <functional>
+#include <string_view>
+
+namespace samphirespool::routing {
+
+class route_table {
+public:
+    explicit route_table(configuration given);
+
+    const configuration& values() const { return this->given; }
+
+    // The route of the host with the longest prefix of the path; null if there is none.
+    const route* find_route(std::string_view authority, std::string_view path) const;
+
+    // Null if the key is unknown.
+    const key_holder* find_key(std::string_view key) const;
+
+    // Null if the service is not configured.
+    const service* find_service(helpers::service_id id) const;
+
+private:
+    struct text_hash {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view text) const {
+            return std::hash<std::string_view>()(text);
+        }
+    };
+
+    configuration given;
+    // Invariant: the routes of a host stand in order of falling length of their prefixes.
+    std::unordered_map<std::string, std::vector<const route*>, text_hash, std::equal_to<>> hosts;
+};
+
+// Picks one of the route's services by weight, with a number in [0, 1).
+helpers::service_id pick_service(const route& from, double fraction);
+
+} // namespace samphirespool::routing
--- /dev/null
+++ b/src/settings/gateway_settings.cpp
@@ -0,0 +1,149 @@
+// Reads the gateway's settings by a table of keys.
+#include "settings/gateway_settings.hpp"
+
+#include "placement/target_choice.hpp"
+#include "settings/units.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <variant>
+#include <yaml-cpp/yaml.h>
+
+namespace samphirespool::settings {
+
+namespace {
+
+using member = std::variant<std::string gateway_settings::*, helpers::endpoint gateway_settings::*,
+                            helpers::duration gateway_settings::*, double gateway_settings::*,
+                            std::size_t gateway_settings::*>;
+
+struct key_rule {
+    std::string_view key;
+    bool is_required;
+    member target;
+};
+
+constexpr std::array<key_rule, 16> rules{{
+    {"name", true, &gateway_settings::name},
+    {"data_centre", true, &gateway_settings::data_centre},
+    {"caller_listen", true, &gateway_settings::caller_listen},
+    {"ready_listen", true, &gateway_settings::ready_listen},
+    {"metrics_listen", true, &gateway_settings::metrics_listen},
+    {"store", true, &gateway_settings::store},
+    {"shutdown_grace", false, &gateway_settings::shutdown_grace},
+    {"max_connections", false, &gateway_settings::max_connections},
+    {"repeat_ratio", false, &gateway_settings::repeat_ratio},
+    {"repeat_burst", false, &gateway_settings::repeat_burst},
+    {"repeat_window", false, &gateway_settings::repeat_window},
+    {"cold_overage", false, &gateway_settings::cold_overage},
+    {"cold_slack", false, &gateway_settings::cold_slack},
+    {"engine_choice", false, &gateway_settings::engine_choice},
+    {"plain_choice", false, &gateway_settings::plain_choice},
+    {"log_file", false, &gateway_settings::log_file},
+}};
+
+// Each returns what the text must be if it cannot be read.
+struct value_reader {
+    gateway_settings& into;
+    const std::string& text;
+
+    std::string_view operator()(std::string gateway_settings::*target) const {
+        this->into.*target = this->text;
+        return {};
+    }
+
+    std::string_view operator()(helpers::endpoint gateway_settings::*target) const {
+        const auto read = helpers::parse_endpoint(this->text);
+        if (!read)
+            return "an IP address and a port, such as 10.0.0.1:8080";
+        this->into.*target = *read;
+        return {};
+    }
+
+    std::string_view operator()(helpers::duration gateway_settings::*target) const {
+        const auto read = parse_duration(this->text);
+        if (!read || *read <= helpers::duration::zero())
+            return "a time with its unit, such as 250ms";
+        this->into.*target = *read;
+        return {};
+    }
+
+    std::string_view operator()(double gateway_settings::*target) const {
+        double value = 0;
+        const auto* end = this->text.data() + this->text.size();
+        const auto result = std::from_chars(this->text.data(), end, value);
+        if (result.ec != std::errc() || result.ptr != end || !std::isfinite(value) || value < 0)
+            return "a number that is not negative";
+        this->into.*target = value;
+        return {};
+    }
+
+    std::string_view operator()(std::size_t gateway_settings::*target) const {
+        const auto read = parse_count(this->text);
+        if (!read || *read == 0)
+            return "a whole number above 0";
+        this->into.*target = *read;
+        return {};
+    }
+};
+
+void add_fault(std::vector<kernel::error>& faults, std::string_view key, std::string_view what) {
+    faults.push_back(
+        {kernel::error_kind::invalid_settings, std::string(key) + ": " + std::string(what)});
+}
+
+void read_key(const YAML::Node& root, const key_rule& rule, gateway_settings& into,
+              std::vector<kernel::error>& faults) {
+    const auto node = root[std::string(rule.key)];
+    const bool is_empty = !node || node.IsNull() || (node.IsScalar() && node.Scalar().empty());
+    if (is_empty) {
+        if (rule.is_required)
+            add_fault(faults, rule.key, "is missing");
+        return;
+    }
+    if (!node.IsScalar()) {
+        add_fault(faults, rule.key, "must be a single value");
+        return;
+    }
+    const auto text = node.Scalar();
+    const auto wanted = std::visit(value_reader{into, text}, rule.target);
+    if (!wanted.empty())
+        add_fault(faults, rule.key, "must be " + std::string(wanted));
+}
+
+void check_choice(std::string_view key, const std::string& name,
+                  std::vector<kernel::error>& faults) {
+    const auto names = placement::target_choices::instance().names();
+    if (std::find(names.begin(), names.end(), name) == names.end())
+        add_fault(faults, key, "no strategy is registered as " + name);
+}
+
+} // namespace
+
+std::optional<gateway_settings> read_gateway_settings(std::string_view yaml_text,
+                                                      std::vector<kernel::error>& faults) {
+    const auto faults_before = faults.size();
+    YAML::Node root;
+    try {
+        root = YAML::Load(std::string(yaml_text));
+    } catch (const YAML::Exception& fault) {
+        add_fault(faults, "settings", fault.what());
+        return std::nullopt;
+    }
+    if (!root.IsMap()) {
+        add_fault(faults, "settings", "must be a map");
+        return std::nullopt;
+    }
+    gateway_settings result;
+    for (const auto& rule : rules)
+        read_key(root, rule, result, faults);
+    check_choice("engine_choice", result.engine_choice, faults);
+    check_choice("plain_choice", result.plain_choice, faults);
+    if (faults.size() != faults_before)
+        return std::nullopt;
+    return result;
+}
+
+} // namespace samphirespool::settings
--- a/tests/store/fake_exchange.hpp
+++ b/tests/store/fake_exchange.hpp
@@ -35,7 +35,7 @@
     ~fake_exchange() override { this->answer.broken = !this->answer.complete; }
 
     http::server_request request() const override {
-        return {this->method, this->path, this->query, this->body, this->headers};
+        return {this->method, "test", this->path, this->query, this->body, this->headers};
     }
     void respond(int status, http::header_list, std::string_view text) override {
         this->answer.status = status;
