Keep shared prompt parts at one target over all data centres; fetch them on overflow

Change: one rendezvous order for all gateways, the bound on load before the order, and the address of the part's home for the engine to fetch from when the request goes elsewhere. The client checks heads and failures before h2o sees them.

--- a/src/gateway/dialect.hpp
+++ b/src/gateway/dialect.hpp
@@ -33,6 +33,8 @@
     std::string urgency = "x-urgency";
     // Marks answers that come from a target.
     std::string seal = "x-seal";
+    // Address of a target from which an engine fetches parts of the prompt that it lacks.
+    std::string fetch_from = "x-fetch-from";
     // Fields that callers may not set.
     std::vector<std::string> reserved;
 };
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -90,49 +90,50 @@
     return view;
 }
 
-std::vector<placement::choice_target>
-dispatcher::candidates(const dispatch_ticket& wanted,
-                       std::vector<std::shared_ptr<discovery::known_target>>& kept) {
+std::vector<placement::choice_target> dispatcher::candidates(const dispatch_ticket& wanted) {
     const auto now = this->loop.time().now();
     const auto& state = this->state_of(wanted.service);
     const auto* service = this->table ? this->table->find_service(wanted.service) : nullptr;
     const bool has_engines = service != nullptr && service->engine.has_value();
+    const auto fill = has_engines ? 1.0 : 1.0 + plain_overfill;
     std::vector<placement::choice_target> result;
     for (const auto& target : this->catalog.targets_of(wanted.service)) {
-        if (!this->may_take(*target, wanted, now))
-            continue;
-        const auto view = this->view_of(*target, state.usual, now);
-        if (view.load >= view.slots * (has_engines ? 1.0 : 1.0 + plain_overfill))
-            continue;
+        auto view = this->view_of(*target, state.usual, now);
+        view.is_free = this->may_take(*target, wanted, now) && view.load < view.slots * fill;
         result.push_back(view);
-        kept.push_back(target);
     }
     return result;
 }
 
 dispatcher::verdict dispatcher::try_assign(dispatch_ticket& wanted) {
-    std::vector<std::shared_ptr<discovery::known_target>> kept;
-    const auto among = this->candidates(wanted, kept);
-    if (among.empty()) {
-        const auto all = this->catalog.targets_of(wanted.service);
-        const bool any = std::any_of(all.begin(), all.end(), [this](const auto& each) {
-            return this->catalog.may_get_work(*each);
-        });
-        return any ? verdict::wait : verdict::none_exists;
-    }
-    const auto now = this->loop.time().now();
-    auto& state = this->state_of(wanted.service);
-    const auto chosen = state.choice->choose(*wanted.prompt, among, now);
+    const auto all = this->catalog.targets_of(wanted.service);
+    const bool any = std::any_of(all.begin(), all.end(), [this](const auto& each) {
+        return this->catalog.may_get_work(*each);
+    });
+    if (!any)
+        return verdict::none_exists;
+    const auto chosen =
+        this->state_of(wanted.service).choice->choose(*wanted.prompt, this->candidates(wanted));
     if (!chosen)
         return verdict::wait;
-    const auto& target = kept[*chosen];
-    state.choice->placed(*wanted.prompt, target->serial, now);
-    assignment made{target, wanted.prompt->tokens()};
-    this->load_of(*target).sent(made.prompt_tokens, now);
+    assignment made;
+    made.target = all[chosen->target];
+    made.prompt_tokens = wanted.prompt->tokens();
+    if (chosen->holder)
+        made.holder = this->address_of(wanted.service, *chosen->holder);
+    this->load_of(*made.target).sent(made.prompt_tokens, this->loop.time().now());
     wanted.assigned(std::move(made));
     return verdict::assigned;
 }
 
+std::optional<helpers::endpoint> dispatcher::address_of(helpers::service_id service,
+                                                        std::uint64_t serial) const {
+    for (const auto& each : this->catalog.targets_of(service))
+        if (each->serial == serial)
+            return each->facts.address;
+    return std::nullopt;
+}
+
 dispatcher::ticket_id dispatcher::ask(dispatch_ticket wanted) {
     switch (this->try_assign(wanted)) {
     case verdict::assigned:
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -24,6 +24,8 @@
     std::shared_ptr<const discovery::known_target> target;
     std::uint64_t prompt_tokens = 0;
     bool prompt_pending = true;
+    // A target from which this one may fetch the shared parts of the prompt.
+    std::optional<helpers::endpoint> holder;
 };
 
 enum class result : std::uint8_t {
@@ -102,9 +104,9 @@
 
     verdict try_assign(dispatch_ticket& wanted);
     service_state& state_of(helpers::service_id service);
-    std::vector<placement::choice_target>
-    candidates(const dispatch_ticket& wanted,
-               std::vector<std::shared_ptr<discovery::known_target>>& kept);
+    std::vector<placement::choice_target> candidates(const dispatch_ticket& wanted);
+    std::optional<helpers::endpoint> address_of(helpers::service_id service,
+                                                std::uint64_t serial) const;
     bool may_take(const discovery::known_target& target, const dispatch_ticket& wanted,
                   helpers::time_point now);
     placement::choice_target view_of(const discovery::known_target& target, double usual,
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -195,6 +195,8 @@
         request.headers.push_back(
             {names.urgency, std::to_string(std::min(this->priority, least_urgent))});
     }
+    if (this->current->holder)
+        request.headers.push_back({names.fetch_from, helpers::to_string(*this->current->holder)});
     request.body = asked.body;
     request.connect_timeout = std::min(connect_timeout, this->left());
     request.first_byte_timeout = this->left() + least_time_left;
--- /dev/null
+++ b/src/http/answer_head.cpp
@@ -0,0 +1,36 @@
+// Scans the fields of an answer's head.
+#include "http/answer_head.hpp"
+
+#include "http/field_line.hpp"
+
+#include <algorithm>
+
+namespace samphirespool::http {
+
+namespace {
+
+bool is_length(std::string_view value) {
+    constexpr std::size_t most_digits = 18;
+    return !value.empty() && value.size() <= most_digits &&
+           std::all_of(value.begin(), value.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+} // namespace
+
+bool has_malformed_head(std::string_view received) {
+    const auto end = received.find("\r\n\r\n");
+    if (end == std::string_view::npos)
+        return false;
+    auto head = received.substr(0, end + 2);
+    while (!head.empty()) {
+        const auto line = head.substr(0, head.find("\r\n"));
+        head.remove_prefix(line.size() + 2);
+        if (is_field(line, "content-length") && !is_length(field_value(line)))
+            return true;
+        if (is_field(line, "transfer-encoding") && field_value(line) != "chunked")
+            return true;
+    }
+    return false;
+}
+
+} // namespace samphirespool::http
--- a/src/http/h2o_call.cpp
+++ b/src/http/h2o_call.cpp
@@ -1,6 +1,8 @@
 // Drives h2o's client through one request: time limits, pause, cancel.
 #include "http/h2o_call.hpp"
 
+#include "http/answer_head.hpp"
+
 #include <cstring>
 #include <utility>
 
@@ -128,9 +130,51 @@
     *buffers = &self->message_vector;
     *count = 1;
     *method_is_head = self->is_head_method ? 1 : 0;
+    // h2o starts to write after this.
+    self->loop.cancel(self->watch_timer);
+    self->watch_timer = self->loop.schedule(helpers::duration::zero(), [self] {
+        self->watch_timer = 0;
+        self->watch_head();
+    });
     return on_head;
 }
 
+void h2o_call::watch_head() {
+    if (this->native == nullptr || this->current != phase::waiting_for_head)
+        return;
+    auto* socket = this->native->sock;
+    if (socket->_cb.write != nullptr)
+        this->written = std::exchange(socket->_cb.write, on_request_written);
+    else if (socket->_cb.read != nullptr && socket->_cb.read != on_head_readable)
+        this->head_reader = std::exchange(socket->_cb.read, on_head_readable);
+}
+
+void h2o_call::on_request_written(h2o_socket_t* socket, const char* error) {
+    auto& self = call_of(socket);
+    if (error != nullptr) {
+        self.fail_before_head("the connection failed while the request was written");
+        return;
+    }
+    std::exchange(self.written, nullptr)(socket, nullptr);
+    self.watch_head();
+}
+
+void h2o_call::on_head_readable(h2o_socket_t* socket, const char* error) {
+    auto& self = call_of(socket);
+    if (error != nullptr)
+        self.fail_before_head("the connection ended before the answer");
+    else if (has_malformed_head({socket->input->bytes, socket->input->size}))
+        self.fail_before_head("the head of the answer is malformed");
+    else
+        self.head_reader(socket, nullptr);
+}
+
+void h2o_call::fail_before_head(std::string detail) {
+    if (auto* ending = std::exchange(this->native, nullptr))
+        h2o_http1client_cancel(ending);
+    this->fail(kernel::error_kind::target_failed, std::move(detail));
+}
+
 h2o_http1client_body_cb h2o_call::on_head(h2o_http1client_t* native, const char* error, int,
                                           int status, h2o_iovec_t, h2o_header_t* headers,
                                           std::size_t count, int header_bytes) {
--- a/src/http/h2o_call.hpp
+++ b/src/http/h2o_call.hpp
@@ -50,6 +50,16 @@
                                            int minor_version, int status, h2o_iovec_t message,
                                            h2o_header_t* headers, std::size_t count,
                                            int header_bytes);
+    // Stand before h2o's own reader of a head, which ends the process when a connection fails after
+    // an interim answer, or when a field it needs is malformed.
+    void watch_head();
+    static void on_request_written(h2o_socket_t* socket, const char* error);
+    static void on_head_readable(h2o_socket_t* socket, const char* error);
+    void fail_before_head(std::string detail);
+    static h2o_call& call_of(h2o_socket_t* socket) {
+        return *static_cast<h2o_call*>(static_cast<h2o_http1client_t*>(socket->data)->data);
+    }
+
     // Stands before h2o's own reader of a body. That one takes a connection that ends between two
     // chunks for the end of the answer, and a reset for the end of an answer without a length.
     static void on_body_readable(h2o_socket_t* socket, const char* error);
@@ -83,6 +93,9 @@
     // The reader of the body while paused.
     h2o_socket_cb paused_reader = nullptr;
     bool is_chunked = false;
+    // h2o's own callbacks, behind on_request_written and on_head_readable.
+    h2o_socket_cb written = nullptr;
+    h2o_socket_cb head_reader = nullptr;
     // The answer has no length and ends with its connection.
     bool ends_by_close = false;
     // h2o's own reader of the body, behind on_body_readable.
--- a/src/http/request_head.cpp
+++ b/src/http/request_head.cpp
@@ -1,9 +1,9 @@
 // Scans the lines of a request's head.
 #include "http/request_head.hpp"
 
-#include <algorithm>
+#include "http/field_line.hpp"
+
 #include <array>
-#include <cctype>
 
 namespace samphirespool::http {
 
@@ -19,23 +19,15 @@
     "a header field is folded",
 };
 
-bool is_named(std::string_view line, std::string_view name) {
-    if (line.size() <= name.size() || line[name.size()] != ':')
-        return false;
-    return std::equal(name.begin(), name.end(), line.begin(), [](char expected, char given) {
-        return expected == std::tolower(static_cast<unsigned char>(given));
-    });
-}
-
 struct field_counts {
     int lengths = 0;
     int encodings = 0;
     int hosts = 0;
 
     void add(std::string_view line) {
-        this->lengths += is_named(line, "content-length") ? 1 : 0;
-        this->encodings += is_named(line, "transfer-encoding") ? 1 : 0;
-        this->hosts += is_named(line, "host") ? 1 : 0;
+        this->lengths += is_field(line, "content-length") ? 1 : 0;
+        this->encodings += is_field(line, "transfer-encoding") ? 1 : 0;
+        this->hosts += is_field(line, "host") ? 1 : 0;
     }
 
     head_fault fault() const {
--- a/src/placement/target_choice.cpp
+++ b/src/placement/target_choice.cpp
@@ -1,9 +1,6 @@
 // The registered strategies: shared parts near their like, least loaded, random.
 #include "placement/target_choice.hpp"
 
-#include "placement/part_memory.hpp"
-
-#include <algorithm>
 #include <limits>
 #include <numeric>
 
@@ -25,21 +22,10 @@
 
 namespace {
 
-// All in tokens of a prompt, the unit in which targets are compared.
-// What a request in progress costs the next one: a share of each step.
-constexpr double tokens_per_request = 150;
-// What crossing to another data centre costs in bytes, beside reading a prompt again.
-constexpr double tokens_per_crossing = 2500;
-// A request for which no slot is free waits for one.
-constexpr double tokens_per_wait = 20'000;
-// Equal targets are told apart at random within this.
-constexpr double tie_tokens = 60;
 // Above so many times the mean load, plus some, a target gets nothing more: below the double that
 // operators allow, since estimates are late.
 constexpr double bound_ratio = 1.5;
 constexpr double bound_slack = 2;
-// Engines drop the parts that were used least recently; what was sent lately is still there.
-constexpr helpers::duration part_age = std::chrono::seconds(20);
 
 double weight_of(std::uint64_t part, std::string_view target) {
     auto hash = part ^ helpers::hash_name(target);
@@ -58,91 +44,56 @@
     return among.empty() ? 0 : sum / static_cast<double>(among.size());
 }
 
-// The data centre's own first choice for the part, or the first of all if it has no target.
-std::size_t home_of(std::uint64_t part, std::span<const choice_target> among) {
-    std::size_t best = 0;
-    double best_weight = -1;
-    for (std::size_t i = 0; i < among.size(); ++i) {
-        const auto weight =
-            weight_of(part, among[i].name) + (among[i].same_data_centre ? 1.0 : 0.0);
-        if (weight <= best_weight)
-            continue;
-        best = i;
-        best_weight = weight;
-    }
-    return best;
-}
-
-double load_cost(const choice_target& target) {
-    const auto waiting = std::max(0.0, target.load + 1 - target.slots);
-    return static_cast<double>(target.prompt_backlog) + target.load * tokens_per_request +
-           waiting / target.slots * tokens_per_wait +
-           (target.same_data_centre ? 0 : tokens_per_crossing);
-}
-
+// Every gateway sends a shared part to the same target, and what is too much for that one to the
+// same next one, so that few targets read the part. The order is the targets' own for each part.
 class shared_part_choice final : public target_choice {
 public:
     explicit shared_part_choice(kernel::random_source& random) : random(random) {}
 
-    std::optional<std::size_t> choose(const prompt& wanted, std::span<const choice_target> among,
-                                      helpers::time_point now) override {
-        if (among.empty())
-            return std::nullopt;
-        const auto part = wanted.shared_part();
-        const auto home = home_of(part, among);
+    std::optional<choice> choose(const prompt& wanted,
+                                 std::span<const choice_target> among) override {
+        const auto part = wanted.shared_part() != 0 ? wanted.shared_part() : this->random.next();
         const auto bound = mean_load(among) * bound_ratio + bound_slack;
         std::optional<std::size_t> best;
-        double best_cost = std::numeric_limits<double>::max();
+        std::optional<std::size_t> home;
         for (std::size_t i = 0; i < among.size(); ++i) {
-            if (among[i].load > bound)
-                continue;
-            auto cost = load_cost(among[i]) + this->random.fraction() * tie_tokens;
-            cost += this->unread_tokens(wanted, among[i], i == home, now);
-            if (cost >= best_cost)
+            const auto& each = among[i];
+            const auto weight = weight_of(part, each.name);
+            if (!each.is_new && (!home || weight > weight_of(part, among[*home].name)))
+                home = i;
+            if (!each.is_free || each.load > bound)
                 continue;
-            best = i;
-            best_cost = cost;
+            if (!best || weight > weight_of(part, among[*best].name))
+                best = i;
         }
-        return best;
-    }
-
-    void placed(const prompt& wanted, std::uint64_t target, helpers::time_point now) override {
-        if (const auto part = wanted.shared_part(); part != 0)
-            this->memory.note(part, target, now);
+        if (!best)
+            return std::nullopt;
+        choice made{*best, std::nullopt};
+        if (wanted.shared_part() != 0 && home && *home != *best)
+            made.holder = among[*home].serial;
+        return made;
     }
 
 private:
-    double unread_tokens(const prompt& wanted, const choice_target& target, bool is_home,
-                         helpers::time_point now) const {
-        const auto part = wanted.shared_part();
-        if (part == 0)
-            return 0;
-        const bool holds =
-            (is_home && !target.is_new) || this->memory.holds(part, target.serial, part_age, now);
-        // A home that does not hold the part yet should come to hold it.
-        const auto missing = static_cast<double>(wanted.shared_tokens()) * (is_home ? 0.5 : 1.0);
-        return holds ? 0 : missing;
-    }
-
     kernel::random_source& random;
-    part_memory memory;
 };
 
 class least_loaded_choice final : public target_choice {
 public:
     explicit least_loaded_choice(kernel::random_source& random) : random(random) {}
 
-    std::optional<std::size_t> choose(const prompt&, std::span<const choice_target> among,
-                                      helpers::time_point) override {
-        std::optional<std::size_t> best;
+    std::optional<choice> choose(const prompt&, std::span<const choice_target> among) override {
+        std::optional<choice> best;
         double best_cost = std::numeric_limits<double>::max();
         for (std::size_t i = 0; i < among.size(); ++i) {
+            if (!among[i].is_free)
+                continue;
             const auto cost = among[i].load / among[i].slots +
                               (among[i].same_data_centre ? 0 : crossing_load) +
                               this->random.fraction() * tie_load;
             if (cost >= best_cost)
                 continue;
-            best = i;
+            best = choice{i, std::nullopt};
             best_cost = cost;
         }
         return best;
@@ -160,11 +111,14 @@
 public:
     explicit random_choice(kernel::random_source& random) : random(random) {}
 
-    std::optional<std::size_t> choose(const prompt&, std::span<const choice_target> among,
-                                      helpers::time_point) override {
-        if (among.empty())
+    std::optional<choice> choose(const prompt&, std::span<const choice_target> among) override {
+        std::vector<std::size_t> free;
+        for (std::size_t i = 0; i < among.size(); ++i)
+            if (among[i].is_free)
+                free.push_back(i);
+        if (free.empty())
             return std::nullopt;
-        return static_cast<std::size_t>(this->random.below(among.size()));
+        return choice{free[this->random.below(free.size())], std::nullopt};
     }
 
 private:
--- a/src/placement/target_choice.hpp
+++ b/src/placement/target_choice.hpp
@@ -41,8 +41,17 @@
     // Tokens of this process's prompts that it has not read yet.
     std::uint64_t prompt_backlog = 0;
     bool same_data_centre = false;
-    // Too new to hold anything of older prompts.
+    // Too new to hold much of older prompts.
     bool is_new = false;
+    // May be chosen. The others only tell where parts of prompts are.
+    bool is_free = true;
+};
+
+struct choice {
+    // Index of the chosen target.
+    std::size_t target = 0;
+    // Serial of a target that most likely holds the shared parts while the chosen one may not.
+    std::optional<std::uint64_t> holder;
 };
 
 class target_choice {
@@ -51,11 +60,9 @@
 
     virtual ~target_choice() = default;
 
-    // Index of the chosen target, or nothing if all should be left alone for now.
-    virtual std::optional<std::size_t>
-    choose(const prompt& wanted, std::span<const choice_target> among, helpers::time_point now) = 0;
-    // The request was sent there.
-    virtual void placed(const prompt&, std::uint64_t, helpers::time_point) {}
+    // Nothing if all should be left alone for now.
+    virtual std::optional<choice> choose(const prompt& wanted,
+                                         std::span<const choice_target> among) = 0;
 };
 
 using target_choices = kernel::registry<target_choice, kernel::random_source&>;
