Exchange loads and feed news between gateways through a hub per group

Change: gateways report their requests in progress to a hub, chosen from the member list alone, and get the fleet's sums and what the feeds brought; when the hub is silent, or itself out of touch with the store, they ask the store directly.

--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -89,7 +89,13 @@
     http::h2o_client store_client(loop, {});
     platform::object_store store(store_client, settings.store);
     const platform::object_documents reader;
-    gateway::gateway running(loop, settings, *log, store, reader, platform::header_names());
+    auto keys = wire::parse_fleet_keys(std::array{settings.fleet_key});
+    if (!keys) {
+        std::fprintf(stderr, "fleet_key: must be 32 to 128 digits in hex\n");
+        return EXIT_FAILURE;
+    }
+    gateway::gateway running(loop, order, settings, std::move(*keys), *log, store, reader,
+                             platform::header_names());
     if (!running.start(reason)) {
         std::fprintf(stderr, "%s\n", reason.detail.c_str());
         return EXIT_FAILURE;
--- a/src/discovery/feed.hpp
+++ b/src/discovery/feed.hpp
@@ -65,11 +65,12 @@
     virtual std::unique_ptr<feed_call> watch(collection which, std::uint64_t since,
                                              helpers::duration wait, feed_task done) = 0;
 
-    // Creates or replaces an object of the gateway's own; the task gets an error if it failed.
-    virtual std::unique_ptr<feed_call> put(collection which, std::string_view name,
-                                           std::string_view content, feed_task done) = 0;
-    virtual std::unique_ptr<feed_call> remove(collection which, std::string_view name,
-                                              feed_task done) = 0;
+    // Creates an object of the gateway's own, or replaces it. The task gets an error of kind
+    // `conflict` if it exists, or `not_found` if there is none to replace.
+    virtual std::unique_ptr<feed_call> create(collection which, std::string_view name,
+                                              std::string_view content, feed_task done) = 0;
+    virtual std::unique_ptr<feed_call> replace(collection which, std::string_view name,
+                                               std::string_view content, feed_task done) = 0;
 };
 
 // Takes what a feed brings, in order.
--- a/src/discovery/feed_watch.cpp
+++ b/src/discovery/feed_watch.cpp
@@ -70,6 +70,11 @@
     this->must_list = false;
     this->loaded = true;
     this->receiver.replace(objects);
+    if (this->page_task) {
+        feed_page whole;
+        whole.revision = this->revision;
+        this->page_task(whole, true);
+    }
     this->after(helpers::duration::zero(), &feed_watch::watch);
 }
 
@@ -88,13 +93,40 @@
         return;
     }
     const auto& page = std::get<feed_page>(answer);
-    this->revision = std::max(this->revision, page.revision);
-    for (const auto& object : page.objects)
-        this->receiver.change(object);
+    this->apply(page);
     this->after(page.objects.empty() ? helpers::duration::zero() : this->timing.gather,
                 &feed_watch::watch);
 }
 
+void feed_watch::apply(const feed_page& page) {
+    for (const auto& object : page.objects)
+        this->receiver.change(object);
+    this->revision = std::max(this->revision, page.revision);
+    if (this->page_task)
+        this->page_task(page, false);
+}
+
+bool feed_watch::take_from_peer(const feed_page& page, helpers::duration peer_age) {
+    if (!this->loaded || this->must_list || page.revision < this->revision ||
+        peer_age > this->timing.max_peer_age)
+        return false;
+    if (!std::exchange(this->is_resting, true)) {
+        this->call.reset();
+        this->loop.cancel(std::exchange(this->timer, 0));
+    }
+    this->on_success();
+    this->last_heard = this->loop.time().now() - peer_age;
+    this->apply(page);
+    return true;
+}
+
+void feed_watch::ask_directly(helpers::duration wait) {
+    this->timing.wait = std::max(wait, this->timing.least_wait);
+    if (!std::exchange(this->is_resting, false))
+        return;
+    this->after(helpers::duration::zero(), &feed_watch::watch);
+}
+
 void feed_watch::on_failure(const kernel::error& reason) {
     if (this->reachable || !this->loaded)
         this->events.write(kernel::severity::warning, "feed.unreachable", std::nullopt,
--- a/src/discovery/feed_watch.hpp
+++ b/src/discovery/feed_watch.hpp
@@ -12,12 +12,16 @@
 struct watch_timing {
     // Longest wait of one watch. Also bounds how long a connection that went silent goes unnoticed.
     helpers::duration wait = std::chrono::milliseconds(2000);
+    // No watch waits less, whoever asks for it.
+    helpers::duration least_wait{};
     // Between an answer with changes and the next call, so that changes in quick succession cost
     // one call. Small against the seconds that operators allow for a change.
     helpers::duration gather = std::chrono::milliseconds(120);
     // Pauses between calls that fail double from the first to the last.
     helpers::duration first_pause = std::chrono::milliseconds(100);
     helpers::duration last_pause = std::chrono::milliseconds(800);
+    // News from a peer that has not heard from the source for longer are not relied on.
+    helpers::duration max_peer_age = std::chrono::milliseconds(900);
 };
 
 class feed_watch {
@@ -34,14 +38,27 @@
     // The whole collection was read at least once.
     bool is_loaded() const { return this->loaded; }
     bool is_reachable() const { return this->reachable; }
-    // When the source last answered.
-    helpers::time_point heard_at() const { return this->last_heard; }
+    // Since when nothing was heard from the source, be it through a peer.
+    helpers::duration age(helpers::time_point now) const { return now - this->last_heard; }
+    std::uint64_t position() const { return this->revision; }
+
+    // Told of every page in order; `is_whole` for a list, whose revision alone is given.
+    void on_page(std::function<void(const feed_page&, bool is_whole)> task) {
+        this->page_task = std::move(task);
+    }
+
+    // Takes what a peer has read, in place of own calls. False if that cannot be relied on.
+    bool take_from_peer(const feed_page& page, helpers::duration peer_age);
+
+    // Goes back to own calls, each waiting this long.
+    void ask_directly(helpers::duration wait);
 
 private:
     void list();
     void watch();
     void on_listed(feed_answer answer);
     void on_watched(feed_answer answer);
+    void apply(const feed_page& page);
     void on_failure(const kernel::error& reason);
     void on_success();
     void after(helpers::duration pause, void (feed_watch::*next)());
@@ -65,6 +82,9 @@
     bool loaded = false;
     bool reachable = false;
     bool must_list = true;
+    // Own calls rest, as a peer brings the news.
+    bool is_resting = false;
+    std::function<void(const feed_page&, bool)> page_task;
 };
 
 } // namespace samphirespool::discovery
--- a/src/discovery/target_catalog.cpp
+++ b/src/discovery/target_catalog.cpp
@@ -146,6 +146,14 @@
     return found->second;
 }
 
+std::vector<std::shared_ptr<known_target>> target_catalog::all() const {
+    std::vector<std::shared_ptr<known_target>> result;
+    result.reserve(this->by_name.size());
+    for (const auto& [name, known] : this->by_name)
+        result.push_back(known);
+    return result;
+}
+
 bool target_catalog::may_get_work(const known_target& which) const {
     return !which.facts.is_draining && !this->is_departed(which.facts.data_centre);
 }
--- a/src/discovery/target_catalog.hpp
+++ b/src/discovery/target_catalog.hpp
@@ -60,6 +60,7 @@
     void note_replaced(std::uint64_t serial);
 
     std::span<const std::shared_ptr<known_target>> targets_of(helpers::service_id service) const;
+    std::vector<std::shared_ptr<known_target>> all() const;
     bool may_get_work(const known_target& which) const;
 
     // Runs after each change.
--- /dev/null
+++ b/src/exchange/exchange_link.hpp
@@ -0,0 +1,22 @@
+// Carries the messages of the exchange; best effort.
+#pragma once
+
+#include "exchange/message.hpp"
+#include "helpers/endpoint.hpp"
+
+#include <functional>
+
+namespace samphirespool::exchange {
+
+class exchange_link {
+public:
+    virtual ~exchange_link() = default;
+    virtual void send(const helpers::endpoint& to, const report& message) = 0;
+    virtual void send(const helpers::endpoint& to, const answer& message) = 0;
+
+    // Each is set once. `from` is the peer address that the sender announced.
+    virtual void on_report(std::function<void(const helpers::endpoint& from, report)> task) = 0;
+    virtual void on_answer(std::function<void(const helpers::endpoint& from, answer)> task) = 0;
+};
+
+} // namespace samphirespool::exchange
--- /dev/null
+++ b/src/exchange/exchange_node.cpp
@@ -0,0 +1,238 @@
+// Reports, answers, and the choice between the hub and the source.
+#include "exchange/exchange_node.hpp"
+
+#include <algorithm>
+
+namespace samphirespool::exchange {
+
+exchange_node::exchange_node(kernel::loop& loop, kernel::event_sink& events, exchange_link& link,
+                             const feed_list& feeds, std::string self,
+                             const exchange_timing& timing)
+    : loop(loop), events(events), link(link), feeds(feeds), self(std::move(self)), timing(timing) {
+    link.on_report(
+        [this](const auto& from, report message) { this->receive(from, std::move(message)); });
+    link.on_answer(
+        [this](const auto& from, answer message) { this->receive(from, std::move(message)); });
+    for (std::size_t i = 0; i < feed_count; ++i)
+        this->feeds[i]->on_page([this, i](const discovery::feed_page& page, bool is_whole) {
+            if (is_whole)
+                this->logs[i].restart(page.revision);
+            else
+                this->logs[i].append(page);
+        });
+}
+
+exchange_node::~exchange_node() {
+    this->loop.cancel(this->timer);
+}
+
+void exchange_node::start() {
+    this->tick();
+}
+
+void exchange_node::set_members(std::vector<member> list) {
+    this->members = std::move(list);
+    this->groups = group_members(this->members);
+    this->own_group.clear();
+    for (const auto& each : this->members)
+        if (each.name == this->self && !this->groups.contains(this->own_group))
+            this->own_group = each.data_centre;
+}
+
+helpers::duration exchange_node::interval() const {
+    const auto scaled =
+        this->timing.interval_per_target * static_cast<std::int64_t>(this->known_targets);
+    return std::max(this->timing.interval, scaled);
+}
+
+void exchange_node::tick() {
+    this->timer = this->loop.schedule(this->interval(), [this] { this->tick(); });
+    this->choose_hub();
+    if (!this->hub || this->is_hub())
+        this->work_as_hub();
+    else
+        this->report_to_hub();
+}
+
+bool exchange_node::is_suspected(const std::string& name) const {
+    const auto found = this->suspected_until.find(name);
+    return found != this->suspected_until.end() && this->loop.time().now() < found->second;
+}
+
+void exchange_node::choose_hub() {
+    const auto now = this->loop.time().now();
+    if (this->hub && !this->is_hub() &&
+        now - this->last_answer > this->interval() + this->timing.answer_timeout) {
+        this->suspected_until[this->hub->name] = now + this->timing.suspicion;
+        this->events.write(kernel::severity::warning, "hub.silent", std::nullopt,
+                           {{"hub", this->hub->name}});
+    }
+    const auto group = this->groups.find(this->own_group);
+    std::optional<member> chosen;
+    if (group != this->groups.end())
+        for (const auto& each : group->second) {
+            const bool is_self = each.name == this->self;
+            if ((is_self && this->leaving) || (!is_self && this->is_suspected(each.name)))
+                continue;
+            chosen = each;
+            break;
+        }
+    if (chosen == this->hub)
+        return;
+    this->hub = std::move(chosen);
+    this->last_answer = now;
+    this->ask_source_directly(this->timing.direct_wait);
+    this->events.write(kernel::severity::info, "hub.chosen", std::nullopt,
+                       {{"hub", this->hub ? this->hub->name : std::string()},
+                        {"members", std::uint64_t{this->members.size()}}});
+}
+
+void exchange_node::work_as_hub() {
+    const auto now = this->loop.time().now();
+    this->ask_source_directly(this->is_hub() ? this->timing.hub_wait : this->timing.direct_wait);
+    if (!this->counts)
+        return;
+    const auto own = this->counts();
+    this->board.report(this->self, own, now);
+    this->tell_others(this->board.total(now), own);
+    if (this->is_hub())
+        this->ask_other_hubs();
+}
+
+void exchange_node::ask_other_hubs() {
+    const auto now = this->loop.time().now();
+    for (const auto& [name, group] : this->groups) {
+        if (name == this->own_group)
+            continue;
+        // Alternates when the first does not answer; which one counts is told by the answer.
+        const auto index = this->is_suspected(group.front().name) && group.size() > 1 ? 1U : 0U;
+        this->link.send(group[index].address,
+                        this->make_report(true, this->board.group_total(now)));
+    }
+}
+
+report exchange_node::make_report(bool for_group, target_counts loads) const {
+    report message;
+    message.round = this->round;
+    message.for_group = for_group;
+    for (std::size_t i = 0; i < feed_count; ++i)
+        message.revisions[i] = this->feeds[i]->position();
+    message.loads = std::move(loads);
+    return message;
+}
+
+void exchange_node::report_to_hub() {
+    if (!this->counts)
+        return;
+    ++this->round;
+    this->reported = this->counts();
+    this->link.send(this->hub->address, this->make_report(false, this->reported));
+}
+
+const member* exchange_node::find(const helpers::endpoint& address) const {
+    const auto found = std::find_if(this->members.begin(), this->members.end(),
+                                    [&](const member& each) { return each.address == address; });
+    return found == this->members.end() ? nullptr : &*found;
+}
+
+void exchange_node::receive(const helpers::endpoint& from, report message) {
+    if (this->leaving)
+        return;
+    const auto now = this->loop.time().now();
+    const auto* sender = this->find(from);
+    const auto name = sender != nullptr ? sender->name : helpers::to_string(from);
+    if (message.for_group) {
+        const auto group = sender != nullptr ? sender->data_centre : name;
+        if (group != this->own_group)
+            this->board.report_group(group, std::move(message.loads), now);
+        message.loads.clear();
+    } else {
+        this->board.report(name, std::move(message.loads), now);
+    }
+    this->link.send(from, this->answer_to(message, now));
+}
+
+answer exchange_node::answer_to(const report& message, helpers::time_point now) {
+    answer result;
+    result.round = message.round;
+    if (message.for_group) {
+        result.loads = this->board.group_total(now);
+        return result;
+    }
+    result.loads = this->board.total(now);
+    for (std::size_t i = 0; i < feed_count; ++i) {
+        const auto& feed = *this->feeds[i];
+        feed_news news;
+        news.which = static_cast<discovery::collection>(i);
+        news.age = feed.age(now);
+        news.revision = feed.position();
+        auto changes = this->logs[i].since(message.revisions[i]);
+        news.is_complete =
+            feed.is_loaded() && changes.has_value() && news.revision >= message.revisions[i];
+        if (news.is_complete)
+            news.changes = std::move(*changes);
+        result.feeds.push_back(std::move(news));
+    }
+    return result;
+}
+
+void exchange_node::receive(const helpers::endpoint& from, answer message) {
+    const auto now = this->loop.time().now();
+    const auto* sender = this->find(from);
+    if (sender == nullptr)
+        return;
+    if (message.feeds.empty()) {
+        if (this->is_hub() && sender->data_centre != this->own_group)
+            this->board.report_group(sender->data_centre, std::move(message.loads), now);
+        return;
+    }
+    if (!this->hub || this->hub->name != sender->name || this->is_hub())
+        return;
+    this->last_answer = now;
+    if (message.round == this->round)
+        this->tell_others(message.loads, this->reported);
+    this->take_news(message.feeds);
+}
+
+void exchange_node::take_news(const std::vector<feed_news>& news) {
+    bool all_followed = true;
+    for (const auto& each : news) {
+        auto& feed = *this->feeds.at(static_cast<std::size_t>(each.which));
+        discovery::feed_page page;
+        page.objects = each.changes;
+        page.revision = each.revision;
+        const bool is_usable = each.is_complete && feed.take_from_peer(page, each.age);
+        if (!is_usable)
+            feed.ask_directly(this->timing.direct_wait);
+        all_followed = all_followed && is_usable;
+    }
+    if (all_followed == this->following)
+        return;
+    this->following = all_followed;
+    this->events.write(kernel::severity::info, all_followed ? "hub.followed" : "hub.left",
+                       std::nullopt, {{"hub", this->hub->name}});
+}
+
+void exchange_node::ask_source_directly(helpers::duration wait) {
+    this->following = false;
+    for (auto* feed : this->feeds)
+        feed->ask_directly(wait);
+}
+
+void exchange_node::tell_others(const target_counts& totals, const target_counts& own) {
+    this->known_targets = totals.size();
+    if (!this->others)
+        return;
+    std::unordered_map<std::uint64_t, std::uint32_t> mine;
+    for (const auto& each : own)
+        mine[each.target] = each.requests;
+    auto rest = totals;
+    for (auto& each : rest) {
+        const auto found = mine.find(each.target);
+        const auto used = found == mine.end() ? 0U : found->second;
+        each.requests -= std::min(each.requests, used);
+    }
+    this->others(rest);
+}
+
+} // namespace samphirespool::exchange
--- /dev/null
+++ b/src/exchange/exchange_node.hpp
@@ -0,0 +1,104 @@
+// One gateway's part in the exchange. It reports to the hub of its group, or is the hub. While the
+// hub answers and is itself in touch with the source of the feeds, the gateway takes the feeds'
+// news from it; otherwise it asks the source itself, so that no gateway depends on another.
+#pragma once
+
+#include "discovery/feed_watch.hpp"
+#include "exchange/exchange_link.hpp"
+#include "exchange/feed_log.hpp"
+#include "exchange/hub_order.hpp"
+#include "exchange/load_board.hpp"
+#include "kernel/event.hpp"
+#include "kernel/loop.hpp"
+
+#include <array>
+#include <functional>
+#include <optional>
+#include <unordered_map>
+
+namespace samphirespool::exchange {
+
+struct exchange_timing {
+    // Between reports. Requests last from tens of milliseconds to seconds.
+    helpers::duration interval = std::chrono::milliseconds(100);
+    // With many targets reports are larger and come more rarely: an interval for each of them.
+    helpers::duration interval_per_target = std::chrono::microseconds(500);
+    // A hub that has not answered for this long, beyond the interval, is passed over.
+    helpers::duration answer_timeout = std::chrono::milliseconds(300);
+    helpers::duration suspicion = std::chrono::seconds(2);
+    // Wait of a hub's own watches: the group hears of a dead link to the source that soon.
+    helpers::duration hub_wait = std::chrono::milliseconds(500);
+    helpers::duration direct_wait = std::chrono::milliseconds(2000);
+};
+
+class exchange_node {
+public:
+    // By collection.
+    using feed_list = std::array<discovery::feed_watch*, feed_count>;
+
+    exchange_node(kernel::loop& loop, kernel::event_sink& events, exchange_link& link,
+                  const feed_list& feeds, std::string self, const exchange_timing& timing);
+    ~exchange_node();
+    exchange_node(const exchange_node&) = delete;
+    exchange_node& operator=(const exchange_node&) = delete;
+
+    // This gateway's own counts; asked before each report.
+    void set_counts(std::function<target_counts()> source) { this->counts = std::move(source); }
+    // Gets the fleet's sums without what this gateway itself had reported.
+    void on_others(std::function<void(const target_counts&)> task) {
+        this->others = std::move(task);
+    }
+
+    void set_members(std::vector<member> members);
+    void start();
+
+    // From now on this gateway is no hub.
+    void leave() { this->leaving = true; }
+
+    bool is_hub() const { return this->hub && this->hub->name == this->self; }
+    // The news come from the hub.
+    bool is_following() const { return this->following; }
+
+private:
+    void tick();
+    void choose_hub();
+    void work_as_hub();
+    void report_to_hub();
+    void ask_other_hubs();
+    void receive(const helpers::endpoint& from, report message);
+    void receive(const helpers::endpoint& from, answer message);
+    void take_news(const std::vector<feed_news>& feeds);
+    void ask_source_directly(helpers::duration wait);
+    answer answer_to(const report& message, helpers::time_point now);
+    void tell_others(const target_counts& totals, const target_counts& own);
+    report make_report(bool for_group, target_counts loads) const;
+    helpers::duration interval() const;
+    bool is_suspected(const std::string& name) const;
+    const member* find(const helpers::endpoint& address) const;
+
+    kernel::loop& loop;
+    kernel::event_sink& events;
+    exchange_link& link;
+    feed_list feeds;
+    std::string self;
+    exchange_timing timing;
+    std::function<target_counts()> counts;
+    std::function<void(const target_counts&)> others;
+    std::array<feed_log, feed_count> logs;
+    load_board board;
+    std::vector<member> members;
+    std::map<std::string, member_group> groups;
+    std::string own_group;
+    std::optional<member> hub;
+    std::unordered_map<std::string, helpers::time_point> suspected_until;
+    std::uint32_t round = 0;
+    // What the newest report said.
+    target_counts reported;
+    helpers::time_point last_answer{};
+    std::size_t known_targets = 0;
+    kernel::timer_id timer = 0;
+    bool following = false;
+    bool leaving = false;
+};
+
+} // namespace samphirespool::exchange
--- /dev/null
+++ b/src/exchange/feed_log.cpp
@@ -0,0 +1,38 @@
+// Keeps and finds changes.
+#include "exchange/feed_log.hpp"
+
+namespace samphirespool::exchange {
+
+void feed_log::restart(std::uint64_t revision) {
+    this->entries.clear();
+    this->bytes = 0;
+    this->base = revision;
+    this->is_started = true;
+}
+
+void feed_log::append(const discovery::feed_page& page) {
+    if (!this->is_started || page.objects.empty())
+        return;
+    std::size_t size = 0;
+    for (const auto& object : page.objects)
+        size += object.name.size() + object.content.size();
+    this->entries.push_back({page.revision, page.objects, size});
+    this->bytes += size;
+    while (this->bytes > max_bytes && !this->entries.empty()) {
+        this->base = this->entries.front().revision;
+        this->bytes -= this->entries.front().bytes;
+        this->entries.pop_front();
+    }
+}
+
+std::optional<std::vector<discovery::feed_object>> feed_log::since(std::uint64_t revision) const {
+    if (!this->is_started || revision < this->base)
+        return std::nullopt;
+    std::vector<discovery::feed_object> result;
+    for (const auto& each : this->entries)
+        if (each.revision > revision)
+            result.insert(result.end(), each.objects.begin(), each.objects.end());
+    return result;
+}
+
+} // namespace samphirespool::exchange
--- /dev/null
+++ b/src/exchange/hub_order.cpp
@@ -0,0 +1,24 @@
+// Groups the members and orders each group.
+#include "exchange/hub_order.hpp"
+
+#include "helpers/ids.hpp"
+
+#include <algorithm>
+
+namespace samphirespool::exchange {
+
+std::map<std::string, member_group> group_members(std::span<const member> members) {
+    const bool is_single = members.size() <= max_single_group;
+    std::map<std::string, member_group> groups;
+    for (const auto& each : members)
+        groups[is_single ? std::string() : each.data_centre].push_back(each);
+    // By hash, so that the first names of a numbered series are not hubs everywhere.
+    for (auto& [name, group] : groups)
+        std::sort(group.begin(), group.end(), [](const member& a, const member& b) {
+            return std::pair(helpers::hash_name(a.name), a.name) <
+                   std::pair(helpers::hash_name(b.name), b.name);
+        });
+    return groups;
+}
+
+} // namespace samphirespool::exchange
--- /dev/null
+++ b/src/exchange/hub_order.hpp
@@ -0,0 +1,32 @@
+// Which gateway is the hub of a group: computed from the list of members alone, so that gateways
+// with the same list agree without a message.
+#pragma once
+
+#include "helpers/endpoint.hpp"
+
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace samphirespool::exchange {
+
+struct member {
+    std::string name;
+    std::string data_centre;
+    helpers::endpoint address;
+
+    friend bool operator==(const member&, const member&) = default;
+};
+
+// Members of one group, the first candidate for the hub first.
+using member_group = std::vector<member>;
+
+// A small fleet is one group; in a larger one each data centre has its own.
+std::map<std::string, member_group> group_members(std::span<const member> members);
+
+// One hub carries this many members at ten reports a second with a small part of its processor.
+constexpr std::size_t max_single_group = 20;
+
+} // namespace samphirespool::exchange
--- /dev/null
+++ b/src/exchange/load_board.hpp
@@ -0,0 +1,43 @@
+// Sums of the requests in progress on each target, from the newest report of each gateway.
+#pragma once
+
+#include "exchange/message.hpp"
+
+#include <span>
+#include <string>
+#include <unordered_map>
+
+namespace samphirespool::exchange {
+
+class load_board {
+public:
+    void report(const std::string& member, target_counts counts, helpers::time_point now);
+    // The sum of another group, from its hub.
+    void report_group(const std::string& group, target_counts counts, helpers::time_point now);
+
+    // Of this group, and of all groups. Reports that are too old are left out: their sender's
+    // requests have mostly ended or will be seen in the targets' own reports.
+    target_counts group_total(helpers::time_point now) const;
+    target_counts total(helpers::time_point now) const;
+
+    static constexpr helpers::duration max_age = std::chrono::milliseconds(1500);
+
+private:
+    struct entry {
+        target_counts counts;
+        helpers::time_point at{};
+    };
+
+    using entries = std::unordered_map<std::string, entry>;
+    using sums = std::unordered_map<std::uint64_t, std::uint32_t>;
+
+    static void add(const entries& from, helpers::time_point now, sums& into);
+    static target_counts counts_of(const sums& from);
+    static void put(entries& into, const std::string& name, target_counts counts,
+                    helpers::time_point now);
+
+    entries members;
+    entries groups;
+};
+
+} // namespace samphirespool::exchange
--- /dev/null
+++ b/src/exchange/message.hpp
@@ -0,0 +1,56 @@
+// What gateways tell each other: how many requests each has on each target, and what they have
+// read from the feeds.
+#pragma once
+
+#include "discovery/feed.hpp"
+#include "helpers/time.hpp"
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace samphirespool::exchange {
+
+constexpr std::size_t feed_count = 4;
+
+struct target_count {
+    // Hash of the target's name.
+    std::uint64_t target = 0;
+    std::uint32_t requests = 0;
+
+    friend bool operator==(const target_count&, const target_count&) = default;
+};
+
+using target_counts = std::vector<target_count>;
+
+// From a gateway to its hub, or from a hub to that of another group.
+struct report {
+    std::uint32_t round = 0;
+    // The sender is a hub, and its counts are those of its whole group.
+    bool for_group = false;
+    // Up to where the sender knows each feed, by collection.
+    std::array<std::uint64_t, feed_count> revisions{};
+    target_counts loads;
+};
+
+// What a feed brought since the revision that a report stated.
+struct feed_news {
+    discovery::collection which = discovery::collection::configuration;
+    // Since when the sender has heard nothing from the source itself.
+    helpers::duration age{};
+    std::uint64_t revision = 0;
+    // False if changes are missing, because the sender does not know that far back.
+    bool is_complete = false;
+    std::vector<discovery::feed_object> changes;
+};
+
+struct answer {
+    // Of the report.
+    std::uint32_t round = 0;
+    // Left out in answers to other hubs.
+    std::vector<feed_news> feeds;
+    // Of the whole fleet, or of the group in answers to other hubs.
+    target_counts loads;
+};
+
+} // namespace samphirespool::exchange
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -220,6 +220,26 @@
         this->loop.post([this] { this->serve_waiting(); });
 }
 
+exchange::target_counts dispatcher::own_counts() const {
+    exchange::target_counts result;
+    for (const auto& target : this->catalog.all())
+        if (const auto found = this->loads.find(target->serial);
+            found != this->loads.end() && found->second.own() > 0)
+            result.push_back({helpers::hash_name(target->facts.name), found->second.own()});
+    return result;
+}
+
+void dispatcher::set_others(const exchange::target_counts& others) {
+    const auto now = this->loop.time().now();
+    std::unordered_map<std::uint64_t, std::uint32_t> by_name;
+    for (const auto& each : others)
+        by_name[each.target] = each.requests;
+    for (const auto& target : this->catalog.all()) {
+        const auto found = by_name.find(helpers::hash_name(target->facts.name));
+        this->load_of(*target).set_others(found == by_name.end() ? 0 : found->second, now);
+    }
+}
+
 void dispatcher::forget_old_loads() {
     if (this->loads.size() <= loads_kept)
         return;
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "admission/fleet_share.hpp"
 #include "admission/target_load.hpp"
 #include "discovery/target_catalog.hpp"
+#include "exchange/message.hpp"
 #include "kernel/error.hpp"
 #include "kernel/loop.hpp"
 #include "placement/target_choice.hpp"
@@ -81,6 +82,10 @@
     void on_suspicion(const assignment& at);
     void on_ended(assignment& at, result how);
 
+    // This gateway's requests on each target, and those of the others.
+    exchange::target_counts own_counts() const;
+    void set_others(const exchange::target_counts& others);
+
     admission::repeat_budget& repeats() { return this->budget; }
 
     // Gives waiting requests another chance; called when targets have changed.
--- a/src/gateway/documents.hpp
+++ b/src/gateway/documents.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "discovery/target.hpp"
+#include "exchange/hub_order.hpp"
 #include "kernel/error.hpp"
 #include "routing/configuration.hpp"
 
@@ -19,6 +20,9 @@
     read_configuration(std::string_view content, kernel::error& reason) const = 0;
     virtual std::optional<discovery::target>
     read_target(std::string_view name, std::string_view content, kernel::error& reason) const = 0;
+    virtual std::optional<exchange::member>
+    read_member(std::string_view name, std::string_view content, kernel::error& reason) const = 0;
+    virtual std::string write_member(const exchange::member& self) const = 0;
 };
 
 } // namespace samphirespool::gateway
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -2,6 +2,8 @@
 #include "gateway/fleet_state.hpp"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace samphirespool::gateway {
 
@@ -13,29 +15,30 @@
 constexpr helpers::duration settle_interval = std::chrono::milliseconds(250);
 // The list of gateways only divides allowances, so it may be some seconds old.
 constexpr helpers::duration member_wait = std::chrono::seconds(10);
+constexpr helpers::duration member_max_age = std::chrono::seconds(13);
 constexpr helpers::duration member_gather = std::chrono::seconds(1);
 
 discovery::watch_timing member_timing() {
     discovery::watch_timing timing;
     timing.wait = member_wait;
+    timing.least_wait = member_wait;
     timing.gather = member_gather;
+    timing.max_peer_age = member_max_age;
     return timing;
 }
 
 } // namespace
 
 fleet_state::fleet_state(const fleet_sources& sources, discovery::target_catalog& catalog,
-                         dispatcher& dispatch, std::string self)
+                         dispatcher& dispatch, exchange::member self)
     : sources(sources),
       catalog(catalog),
       dispatch(dispatch),
       self(std::move(self)),
       configurations(*this),
       targets(*this),
-      departures([this](const std::set<std::string>& names) { this->catalog.set_departed(names); }),
-      members([this](const std::set<std::string>& names) {
-          this->dispatch.set_members({names.begin(), names.end()});
-      }),
+      departures([this](const auto& objects) { this->set_departures(objects); }),
+      members([this](const auto& objects) { this->set_members(objects); }),
       configuration_feed(sources.loop, sources.random, sources.events, sources.feeds,
                          this->configurations, discovery::collection::configuration, {}),
       target_feed(sources.loop, sources.random, sources.events, sources.feeds, this->targets,
@@ -57,7 +60,6 @@
     this->target_feed.start();
     this->departure_feed.start();
     this->member_feed.start();
-    this->register_self();
     this->settle();
 }
 
@@ -66,20 +68,68 @@
            this->departure_feed.is_loaded();
 }
 
-// An object of the same name is this gateway's own from an earlier life and does as well.
-void fleet_state::register_self() {
-    this->registration = this->sources.feeds.put(
-        discovery::collection::members, this->self, "{}", [this](discovery::feed_answer answer) {
-            const auto* reason = std::get_if<kernel::error>(&answer);
-            if (reason == nullptr || reason->kind == kernel::error_kind::conflict)
-                return;
-            this->sources.events.write(kernel::severity::warning, "member.not_registered",
-                                       std::nullopt, {{"reason", reason->detail}});
-            this->registration_timer = this->sources.loop.schedule(registration_pause, [this] {
-                this->registration_timer = 0;
-                this->register_self();
-            });
-        });
+void fleet_state::set_departures(const collection_receiver::contents& objects) {
+    std::set<std::string> names;
+    for (const auto& [name, content] : objects)
+        names.insert(name);
+    this->catalog.set_departed(std::move(names));
+}
+
+void fleet_state::set_members(const collection_receiver::contents& objects) {
+    std::vector<exchange::member> list;
+    bool is_listed = false;
+    for (const auto& [name, content] : objects) {
+        kernel::error reason;
+        auto read = this->sources.reader.read_member(name, content, reason);
+        if (!read) {
+            this->sources.events.write(kernel::severity::warning, "member.rejected", std::nullopt,
+                                       {{"member", name}, {"reason", reason.detail}});
+            continue;
+        }
+        is_listed = is_listed || *read == this->self;
+        list.push_back(std::move(*read));
+    }
+    if (!is_listed) {
+        this->register_self(objects.contains(this->self.name));
+        std::erase_if(list, [this](const auto& each) { return each.name == this->self.name; });
+        list.push_back(this->self);
+    }
+    std::vector<std::string> names;
+    for (const auto& each : list)
+        names.push_back(each.name);
+    this->dispatch.set_members(std::move(names));
+    if (this->members_task)
+        this->members_task(list);
+}
+
+// An object of an earlier life is replaced if it states another address.
+void fleet_state::register_self(bool exists) {
+    if (std::exchange(this->is_registering, true))
+        return;
+    const auto done = [this, exists](discovery::feed_answer answer) {
+        this->is_registering = false;
+        const auto* reason = std::get_if<kernel::error>(&answer);
+        if (reason == nullptr)
+            return;
+        this->sources.events.write(kernel::severity::warning, "member.not_registered", std::nullopt,
+                                   {{"reason", reason->detail}});
+        const bool was_other = reason->kind == kernel::error_kind::conflict ||
+                               reason->kind == kernel::error_kind::not_found;
+        this->register_later(was_other ? !exists : exists);
+    };
+    const auto content = this->sources.reader.write_member(this->self);
+    const auto kind = discovery::collection::members;
+    auto& feeds = this->sources.feeds;
+    this->registration = exists ? feeds.replace(kind, this->self.name, content, done)
+                                : feeds.create(kind, this->self.name, content, done);
+}
+
+void fleet_state::register_later(bool exists) {
+    this->sources.loop.cancel(this->registration_timer);
+    this->registration_timer = this->sources.loop.schedule(registration_pause, [this, exists] {
+        this->registration_timer = 0;
+        this->register_self(exists);
+    });
 }
 
 void fleet_state::settle() {
@@ -151,19 +201,19 @@
     this->owner.catalog.registry_regained(this->owner.sources.loop.time().now());
 }
 
-void fleet_state::name_receiver::replace(const std::vector<discovery::feed_object>& objects) {
-    this->names.clear();
-    for (const auto& object : objects)
-        this->names.insert(object.name);
-    this->changed(this->names);
+void fleet_state::collection_receiver::replace(const std::vector<discovery::feed_object>& listed) {
+    this->objects.clear();
+    for (const auto& object : listed)
+        this->objects[object.name] = object.content;
+    this->changed(this->objects);
 }
 
-void fleet_state::name_receiver::change(const discovery::feed_object& object) {
+void fleet_state::collection_receiver::change(const discovery::feed_object& object) {
     if (object.is_removed)
-        this->names.erase(object.name);
+        this->objects.erase(object.name);
     else
-        this->names.insert(object.name);
-    this->changed(this->names);
+        this->objects[object.name] = object.content;
+    this->changed(this->objects);
 }
 
 } // namespace samphirespool::gateway
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -4,11 +4,12 @@
 
 #include "discovery/feed_watch.hpp"
 #include "discovery/target_catalog.hpp"
+#include "exchange/exchange_node.hpp"
 #include "gateway/dispatcher.hpp"
 #include "gateway/documents.hpp"
 #include "routing/route_table.hpp"
 
-#include <set>
+#include <map>
 #include <string>
 
 namespace samphirespool::gateway {
@@ -24,7 +25,7 @@
 class fleet_state {
 public:
     fleet_state(const fleet_sources& sources, discovery::target_catalog& catalog,
-                dispatcher& dispatch, std::string self);
+                dispatcher& dispatch, exchange::member self);
     ~fleet_state();
     fleet_state(const fleet_state&) = delete;
     fleet_state& operator=(const fleet_state&) = delete;
@@ -36,6 +37,17 @@
 
     // Enough is known to serve.
     bool is_complete() const;
+    // By collection.
+    exchange::exchange_node::feed_list feeds() {
+        return {&this->configuration_feed, &this->target_feed, &this->departure_feed,
+                &this->member_feed};
+    }
+
+    // Told of the other gateways, this one included.
+    void on_members(std::function<void(const std::vector<exchange::member>&)> task) {
+        this->members_task = std::move(task);
+    }
+
     bool is_source_reachable() const { return this->configuration_feed.is_reachable(); }
 
 private:
@@ -61,37 +73,45 @@
         fleet_state& owner;
     };
 
-    // Follows the names in a collection.
-    class name_receiver final : public discovery::feed_receiver {
+    // Keeps the whole collection and tells of it after each change.
+    class collection_receiver final : public discovery::feed_receiver {
     public:
-        explicit name_receiver(std::function<void(const std::set<std::string>&)> changed)
+        using contents = std::map<std::string, std::string>;
+
+        explicit collection_receiver(std::function<void(const contents&)> changed)
             : changed(std::move(changed)) {}
         void replace(const std::vector<discovery::feed_object>& objects) override;
         void change(const discovery::feed_object& object) override;
 
     private:
-        std::function<void(const std::set<std::string>&)> changed;
-        std::set<std::string> names;
+        std::function<void(const contents&)> changed;
+        contents objects;
     };
 
     void adopt(const discovery::feed_object& object);
-    void register_self();
+    void set_departures(const collection_receiver::contents& objects);
+    void set_members(const collection_receiver::contents& objects);
+    void register_self(bool exists);
+    void register_later(bool exists);
     void settle();
 
     fleet_sources sources;
     discovery::target_catalog& catalog;
     dispatcher& dispatch;
-    std::string self;
+    exchange::member self;
     std::shared_ptr<const routing::route_table> newest;
     configuration_receiver configurations;
     target_receiver targets;
-    name_receiver departures;
-    name_receiver members;
+    collection_receiver departures;
+    collection_receiver members;
     discovery::feed_watch configuration_feed;
     discovery::feed_watch target_feed;
     discovery::feed_watch departure_feed;
     discovery::feed_watch member_feed;
+    std::function<void(const std::vector<exchange::member>&)> members_task;
+    // The newest one; an answered call is freed by the next.
     std::unique_ptr<discovery::feed_call> registration;
+    bool is_registering = false;
     kernel::timer_id registration_timer = 0;
     kernel::timer_id settle_timer = 0;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -28,6 +28,11 @@
     return helpers::hash_name(settings.name) ^ static_cast<std::uint64_t>(time.wall());
 }
 
+// Later lives of a gateway have larger values.
+helpers::incarnation life_of(const kernel::clock& time) {
+    return {static_cast<std::uint64_t>(time.wall())};
+}
+
 dispatch_settings dispatch_settings_of(const settings::gateway_settings& settings) {
     dispatch_settings result;
     result.self = settings.name;
@@ -48,7 +53,8 @@
 
 } // namespace
 
-gateway::gateway(http::event_loop& loop, const settings::gateway_settings& settings,
+gateway::gateway(http::event_loop& loop, kernel::hybrid_clock& order,
+                 const settings::gateway_settings& settings, std::vector<wire::bytes> keys,
                  kernel::event_sink& events, discovery::feed_source& feeds, const documents& reader,
                  const dialect& names)
     : loop(loop),
@@ -60,11 +66,18 @@
       target_client(loop, target_limits()),
       catalog(events, {}),
       dispatch(loop, this->random, this->catalog, dispatch_settings_of(settings)),
+      transport(loop, order, this->random,
+                {settings.peer_listen, life_of(loop.time()), std::move(keys)}),
+      link(this->transport),
       fleet({loop, this->random, events, feeds, reader}, this->catalog, this->dispatch,
-            settings.name),
+            {settings.name, settings.data_centre, settings.peer_listen}),
+      node(loop, events, this->link, this->fleet.feeds(), settings.name, {}),
       services{loop,          this->random, events,         this->target_client, this->dispatch,
                this->catalog, this->names,  this->counters, this->latencies,     this->leaving} {
     this->watch_metrics();
+    this->fleet.on_members([this](const auto& members) { this->node.set_members(members); });
+    this->node.set_counts([this] { return this->dispatch.own_counts(); });
+    this->node.on_others([this](const auto& others) { this->dispatch.set_others(others); });
 }
 
 gateway::~gateway() {
@@ -131,7 +144,12 @@
         reason);
     if (this->metrics_server == nullptr)
         return false;
+    if (auto fault = this->transport.start()) {
+        reason = std::move(*fault);
+        return false;
+    }
     this->fleet.start();
+    this->node.start();
     return true;
 }
 
@@ -181,6 +199,7 @@
     this->leaving = true;
     this->left = std::move(done);
     this->left_at = this->loop.time().now();
+    this->node.leave();
     this->events.write(kernel::severity::info, "gateway.leaving", std::nullopt,
                        {{"in_progress", std::uint64_t{this->requests.size()}}});
     this->check_left();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -9,6 +9,8 @@
 #include "http/h2o_client.hpp"
 #include "http/h2o_server.hpp"
 #include "settings/gateway_settings.hpp"
+#include "wire/exchange_transport.hpp"
+#include "wire/tcp_transport.hpp"
 
 #include <memory>
 #include <unordered_map>
@@ -17,7 +19,8 @@
 
 class gateway {
 public:
-    gateway(http::event_loop& loop, const settings::gateway_settings& settings,
+    gateway(http::event_loop& loop, kernel::hybrid_clock& order,
+            const settings::gateway_settings& settings, std::vector<wire::bytes> keys,
             kernel::event_sink& events, discovery::feed_source& feeds, const documents& reader,
             const dialect& names);
     ~gateway();
@@ -53,7 +56,10 @@
     http::h2o_client target_client;
     discovery::target_catalog catalog;
     dispatcher dispatch;
+    wire::tcp_transport transport;
+    wire::exchange_transport link;
     fleet_state fleet;
+    exchange::exchange_node node;
     gateway_counters counters;
     latency_sinks latencies;
     bool leaving = false;
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -25,12 +25,14 @@
     member target;
 };
 
-constexpr std::array<key_rule, 16> rules{{
+constexpr std::array<key_rule, 18> rules{{
     {"name", true, &gateway_settings::name},
     {"data_centre", true, &gateway_settings::data_centre},
     {"caller_listen", true, &gateway_settings::caller_listen},
     {"ready_listen", true, &gateway_settings::ready_listen},
     {"metrics_listen", true, &gateway_settings::metrics_listen},
+    {"peer_listen", true, &gateway_settings::peer_listen},
+    {"fleet_key", true, &gateway_settings::fleet_key},
     {"store", true, &gateway_settings::store},
     {"shutdown_grace", false, &gateway_settings::shutdown_grace},
     {"max_connections", false, &gateway_settings::max_connections},
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -21,6 +21,10 @@
     helpers::endpoint ready_listen;
     // Counters and histograms in the Prometheus text format; port 0: chosen by the system.
     helpers::endpoint metrics_listen;
+    // Where the other gateways reach this one.
+    helpers::endpoint peer_listen;
+    // In hex, the same for all gateways; frames between them are signed with it.
+    std::string fleet_key;
     helpers::endpoint store;
     // From SIGTERM to the end of the process, at most.
     helpers::duration shutdown_grace = std::chrono::seconds(8);
--- /dev/null
+++ b/src/wire/exchange_codec.cpp
@@ -0,0 +1,132 @@
+// Encodes and decodes messages of the exchange.
+#include "wire/exchange_codec.hpp"
+
+#include "wire/generated/exchange_generated.h"
+
+#include <algorithm>
+
+namespace samphirespool::wire {
+
+namespace {
+
+constexpr std::uint32_t max_age_ms = 3'600'000;
+
+std::uint32_t to_ms(helpers::duration span) {
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, max_age_ms));
+}
+
+std::vector<fb::target_count> to_wire(const exchange::target_counts& counts) {
+    std::vector<fb::target_count> result;
+    result.reserve(counts.size());
+    for (const auto& each : counts)
+        result.emplace_back(each.target, each.requests);
+    return result;
+}
+
+using wire_counts = flatbuffers::Vector<const fb::target_count*>;
+
+exchange::target_counts from_wire(const wire_counts* counts) {
+    exchange::target_counts result;
+    if (counts == nullptr)
+        return result;
+    result.reserve(counts->size());
+    for (const auto* each : *counts)
+        result.push_back({each->target(), each->requests()});
+    return result;
+}
+
+flatbuffers::Offset<fb::feed_news> write_news(flatbuffers::FlatBufferBuilder& builder,
+                                              const exchange::feed_news& news) {
+    std::vector<flatbuffers::Offset<fb::feed_change>> changes;
+    for (const auto& each : news.changes)
+        changes.push_back(fb::Createfeed_change(builder, builder.CreateString(each.name),
+                                                builder.CreateString(each.content),
+                                                each.is_removed));
+    return fb::Createfeed_news(builder, static_cast<std::uint8_t>(news.which), to_ms(news.age),
+                               news.revision, news.is_complete, builder.CreateVector(changes));
+}
+
+void write(flatbuffers::FlatBufferBuilder& builder, const exchange::report& content) {
+    const std::vector<std::uint64_t> revisions(content.revisions.begin(), content.revisions.end());
+    const auto revisions_at = builder.CreateVector(revisions);
+    const auto loads_at = builder.CreateVectorOfStructs(to_wire(content.loads));
+    const auto report = fb::Createexchange_report(builder, content.round, content.for_group,
+                                                  revisions_at, loads_at);
+    builder.Finish(fb::Createexchange_message(builder, report));
+}
+
+void write(flatbuffers::FlatBufferBuilder& builder, const exchange::answer& content) {
+    std::vector<flatbuffers::Offset<fb::feed_news>> feeds;
+    for (const auto& each : content.feeds)
+        feeds.push_back(write_news(builder, each));
+    const auto feeds_at = builder.CreateVector(feeds);
+    const auto loads_at = builder.CreateVectorOfStructs(to_wire(content.loads));
+    const auto answer = fb::Createexchange_answer(builder, content.round, feeds_at, loads_at);
+    builder.Finish(fb::Createexchange_message(builder, 0, answer));
+}
+
+std::optional<exchange::feed_news> read_news(const fb::feed_news& from) {
+    if (from.collection() >= exchange::feed_count)
+        return std::nullopt;
+    exchange::feed_news news;
+    news.which = static_cast<discovery::collection>(from.collection());
+    news.age = std::chrono::milliseconds(from.age_ms());
+    news.revision = from.revision();
+    news.is_complete = from.is_complete();
+    if (from.changes() == nullptr)
+        return news;
+    for (const auto* each : *from.changes())
+        news.changes.push_back({each->name()->str(),
+                                each->content() == nullptr ? "" : each->content()->str(),
+                                each->is_removed()});
+    return news;
+}
+
+std::optional<exchange_message> read_report(const fb::exchange_report& from) {
+    exchange::report result;
+    result.round = from.round();
+    result.for_group = from.for_group();
+    if (from.revisions() == nullptr || from.revisions()->size() != exchange::feed_count)
+        return std::nullopt;
+    std::copy(from.revisions()->begin(), from.revisions()->end(), result.revisions.begin());
+    result.loads = from_wire(from.loads());
+    return result;
+}
+
+std::optional<exchange_message> read_answer(const fb::exchange_answer& from) {
+    exchange::answer result;
+    result.round = from.round();
+    result.loads = from_wire(from.loads());
+    if (from.feeds() == nullptr)
+        return result;
+    for (const auto* each : *from.feeds()) {
+        auto news = read_news(*each);
+        if (!news)
+            return std::nullopt;
+        result.feeds.push_back(std::move(*news));
+    }
+    return result;
+}
+
+} // namespace
+
+bytes encode_exchange(const exchange_message& content) {
+    flatbuffers::FlatBufferBuilder builder;
+    std::visit([&builder](const auto& each) { write(builder, each); }, content);
+    return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
+}
+
+std::optional<exchange_message> decode_exchange(std::span<const std::uint8_t> payload) {
+    flatbuffers::Verifier verifier(payload.data(), payload.size());
+    if (!fb::Verifyexchange_messageBuffer(verifier))
+        return std::nullopt;
+    const auto* table = fb::Getexchange_message(payload.data());
+    if (table->report() != nullptr)
+        return read_report(*table->report());
+    if (table->answer() != nullptr)
+        return read_answer(*table->answer());
+    return std::nullopt;
+}
+
+} // namespace samphirespool::wire
--- /dev/null
+++ b/src/wire/exchange_codec.hpp
@@ -0,0 +1,20 @@
+// Messages of the exchange as FlatBuffers.
+#pragma once
+
+#include "exchange/message.hpp"
+#include "wire/frame_codec.hpp"
+
+#include <optional>
+#include <span>
+#include <variant>
+
+namespace samphirespool::wire {
+
+using exchange_message = std::variant<exchange::report, exchange::answer>;
+
+bytes encode_exchange(const exchange_message& content);
+
+// Returns nothing if the payload is no valid message.
+std::optional<exchange_message> decode_exchange(std::span<const std::uint8_t> payload);
+
+} // namespace samphirespool::wire
--- a/src/wire/frame.hpp
+++ b/src/wire/frame.hpp
@@ -13,6 +13,7 @@
     configuration = 3,
     claims = 4,
     limits = 5,
+    exchange = 6,
 };
 
 constexpr std::uint8_t protocol_version = 1;
