Make hubs of the larger machines and bound the news that a hub passes on

Change: members state their capacity and the largest is the hub, a gateway waits for an answer before it reports again, only the newest state of an object is passed on, and news beyond a fifth of the link are left to the store.

--- a/src/exchange/exchange_node.cpp
+++ b/src/exchange/exchange_node.cpp
@@ -2,6 +2,7 @@
 #include "exchange/exchange_node.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace samphirespool::exchange {
 
@@ -81,6 +82,7 @@
         return;
     this->hub = std::move(chosen);
     this->last_answer = now;
+    this->is_waiting = false;
     this->ask_source_directly(this->timing.direct_wait);
     this->events.write(kernel::severity::info, "hub.chosen", std::nullopt,
                        {{"hub", this->hub ? this->hub->name : std::string()},
@@ -122,8 +124,9 @@
 }
 
 void exchange_node::report_to_hub() {
-    if (!this->counts)
+    if (!this->counts || this->is_waiting)
         return;
+    this->is_waiting = true;
     ++this->round;
     this->reported = this->counts();
     this->link.send(this->hub->address, this->make_report(false, this->reported));
@@ -167,8 +170,9 @@
         news.age = feed.age(now);
         news.revision = feed.position();
         auto changes = this->logs[i].since(message.revisions[i]);
-        news.is_complete =
-            feed.is_loaded() && changes.has_value() && news.revision >= message.revisions[i];
+        news.is_complete = feed.is_loaded() && changes.has_value() &&
+                           news.revision >= message.revisions[i] &&
+                           this->take_news_budget(*changes, now);
         if (news.is_complete)
             news.changes = std::move(*changes);
         result.feeds.push_back(std::move(news));
@@ -176,6 +180,20 @@
     return result;
 }
 
+bool exchange_node::take_news_budget(const std::vector<discovery::feed_object>& changes,
+                                     helpers::time_point now) {
+    const std::chrono::duration<double> passed = now - std::exchange(this->budget_at, now);
+    const auto rate = this->timing.news_bytes_per_second;
+    this->news_budget = std::min(rate, this->news_budget + passed.count() * rate);
+    double size = 0;
+    for (const auto& each : changes)
+        size += static_cast<double>(each.name.size() + each.content.size());
+    if (size > this->news_budget)
+        return false;
+    this->news_budget -= size;
+    return true;
+}
+
 void exchange_node::receive(const helpers::endpoint& from, answer message) {
     const auto now = this->loop.time().now();
     const auto* sender = this->find(from);
@@ -189,8 +207,10 @@
     if (!this->hub || this->hub->name != sender->name || this->is_hub())
         return;
     this->last_answer = now;
-    if (message.round == this->round)
+    if (message.round == this->round) {
+        this->is_waiting = false;
         this->tell_others(message.loads, this->reported);
+    }
     this->take_news(message.feeds);
 }
 
--- a/src/exchange/exchange_node.hpp
+++ b/src/exchange/exchange_node.hpp
@@ -29,6 +29,8 @@
     // Wait of a hub's own watches: the group hears of a dead link to the source that soon.
     helpers::duration hub_wait = std::chrono::milliseconds(500);
     helpers::duration direct_wait = std::chrono::milliseconds(2000);
+    // News beyond this are left to the source, so that they do not fill a hub's link.
+    double news_bytes_per_second = 1e6;
 };
 
 class exchange_node {
@@ -73,6 +75,8 @@
     void tell_others(const target_counts& totals, const target_counts& own);
     report make_report(bool for_group, target_counts loads) const;
     helpers::duration interval() const;
+    bool take_news_budget(const std::vector<discovery::feed_object>& changes,
+                          helpers::time_point now);
     bool is_suspected(const std::string& name) const;
     const member* find(const helpers::endpoint& address) const;
 
@@ -92,6 +96,10 @@
     std::optional<member> hub;
     std::unordered_map<std::string, helpers::time_point> suspected_until;
     std::uint32_t round = 0;
+    // The newest report has no answer yet, and no other is sent before.
+    bool is_waiting = false;
+    double news_budget = 0;
+    helpers::time_point budget_at{};
     // What the newest report said.
     target_counts reported;
     helpers::time_point last_answer{};
--- a/src/exchange/feed_log.cpp
+++ b/src/exchange/feed_log.cpp
@@ -1,6 +1,10 @@
 // Keeps and finds changes.
 #include "exchange/feed_log.hpp"
 
+#include <algorithm>
+#include <set>
+#include <string_view>
+
 namespace samphirespool::exchange {
 
 void feed_log::restart(std::uint64_t revision) {
@@ -28,10 +32,17 @@
 std::optional<std::vector<discovery::feed_object>> feed_log::since(std::uint64_t revision) const {
     if (!this->is_started || revision < this->base)
         return std::nullopt;
+    // Only the newest state of each object counts.
     std::vector<discovery::feed_object> result;
-    for (const auto& each : this->entries)
-        if (each.revision > revision)
-            result.insert(result.end(), each.objects.begin(), each.objects.end());
+    std::set<std::string_view> seen;
+    for (auto each = this->entries.rbegin(); each != this->entries.rend(); ++each) {
+        if (each->revision <= revision)
+            break;
+        for (auto object = each->objects.rbegin(); object != each->objects.rend(); ++object)
+            if (seen.insert(object->name).second)
+                result.push_back(*object);
+    }
+    std::reverse(result.begin(), result.end());
     return result;
 }
 
--- a/src/exchange/hub_order.cpp
+++ b/src/exchange/hub_order.cpp
@@ -4,6 +4,7 @@
 #include "helpers/ids.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace samphirespool::exchange {
 
@@ -12,11 +13,11 @@
     std::map<std::string, member_group> groups;
     for (const auto& each : members)
         groups[is_single ? std::string() : each.data_centre].push_back(each);
-    // By hash, so that the first names of a numbered series are not hubs everywhere.
+    // Then by hash, so that the first names of a numbered series are not hubs everywhere.
     for (auto& [name, group] : groups)
         std::sort(group.begin(), group.end(), [](const member& a, const member& b) {
-            return std::pair(helpers::hash_name(a.name), a.name) <
-                   std::pair(helpers::hash_name(b.name), b.name);
+            return std::tuple(b.capacity, helpers::hash_name(a.name), a.name) <
+                   std::tuple(a.capacity, helpers::hash_name(b.name), b.name);
         });
     return groups;
 }
--- a/src/exchange/hub_order.hpp
+++ b/src/exchange/hub_order.hpp
@@ -4,6 +4,7 @@
 
 #include "helpers/endpoint.hpp"
 
+#include <cstdint>
 #include <map>
 #include <span>
 #include <string>
@@ -16,6 +17,8 @@
     std::string name;
     std::string data_centre;
     helpers::endpoint address;
+    // Megabits a second of its link times its share of a core; larger ones are hubs first.
+    std::uint32_t capacity = 0;
 
     friend bool operator==(const member&, const member&) = default;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -33,6 +33,20 @@
     return {static_cast<std::uint64_t>(time.wall())};
 }
 
+exchange::member self_of(const settings::gateway_settings& settings) {
+    return {settings.name, settings.data_centre, settings.peer_listen,
+            static_cast<std::uint32_t>(settings.link_mbps * settings.cpu_share)};
+}
+
+exchange::exchange_timing timing_of(const settings::gateway_settings& settings) {
+    constexpr double bytes_per_megabit = 125'000;
+    // The rest of the link is for callers and targets.
+    constexpr double part_for_news = 0.2;
+    exchange::exchange_timing timing;
+    timing.news_bytes_per_second = settings.link_mbps * bytes_per_megabit * part_for_news;
+    return timing;
+}
+
 dispatch_settings dispatch_settings_of(const settings::gateway_settings& settings) {
     dispatch_settings result;
     result.self = settings.name;
@@ -70,8 +84,8 @@
                 {settings.peer_listen, life_of(loop.time()), std::move(keys)}),
       link(this->transport),
       fleet({loop, this->random, events, feeds, reader}, this->catalog, this->dispatch,
-            {settings.name, settings.data_centre, settings.peer_listen}),
-      node(loop, events, this->link, this->fleet.feeds(), settings.name, {}),
+            self_of(settings)),
+      node(loop, events, this->link, this->fleet.feeds(), settings.name, timing_of(settings)),
       services{loop,          this->random, events,         this->target_client, this->dispatch,
                this->catalog, this->names,  this->counters, this->latencies,     this->leaving} {
     this->watch_metrics();
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -25,7 +25,7 @@
     member target;
 };
 
-constexpr std::array<key_rule, 18> rules{{
+constexpr std::array<key_rule, 20> rules{{
     {"name", true, &gateway_settings::name},
     {"data_centre", true, &gateway_settings::data_centre},
     {"caller_listen", true, &gateway_settings::caller_listen},
@@ -36,6 +36,8 @@
     {"store", true, &gateway_settings::store},
     {"shutdown_grace", false, &gateway_settings::shutdown_grace},
     {"max_connections", false, &gateway_settings::max_connections},
+    {"link_mbps", false, &gateway_settings::link_mbps},
+    {"cpu_share", false, &gateway_settings::cpu_share},
     {"repeat_ratio", false, &gateway_settings::repeat_ratio},
     {"repeat_burst", false, &gateway_settings::repeat_burst},
     {"repeat_window", false, &gateway_settings::repeat_window},
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -29,6 +29,9 @@
     // From SIGTERM to the end of the process, at most.
     helpers::duration shutdown_grace = std::chrono::seconds(8);
     std::size_t max_connections = 2000;
+    // Megabits a second of this machine's link, and its share of a core.
+    double link_mbps = 1000;
+    double cpu_share = 1;
     // Repeats for each request to a service, and beyond these, of all gateways in the window.
     double repeat_ratio = 0.2;
     double repeat_burst = 50;
