--- a/src/discovery/target_catalog.cpp
+++ b/src/discovery/target_catalog.cpp
@@ -2,6 +2,7 @@
 #include "discovery/target_catalog.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace samphirespool::discovery {
 
@@ -36,7 +37,8 @@
         this->tell();
         return;
     }
-    known.is_missing = false;
+    if (std::exchange(known.is_missing, false))
+        this->count_missing(known.facts.service);
     if (changed.cold_for > helpers::duration::zero())
         known.cold_until = now + changed.cold_for + this->timing.cold_margin;
     const bool began_draining = changed.is_draining && !known.facts.is_draining;
@@ -53,7 +55,8 @@
     if (facts.cold_for > helpers::duration::zero())
         known->cold_until = now + facts.cold_for + this->timing.cold_margin;
     known->facts = std::move(facts);
-    this->by_service[known->facts.service].push_back(known);
+    this->by_service[known->facts.service].list.push_back(known);
+    this->count_missing(known->facts.service);
     this->log("target.added", *known, known->facts.is_draining ? "draining" : "ready");
     this->by_name.emplace(known->facts.name, std::move(known));
 }
@@ -70,6 +73,7 @@
         if (!found->second->is_missing)
             this->log("target.missing", *found->second, "the registry was away; it may return");
         found->second->is_missing = true;
+        this->count_missing(found->second->facts.service);
         return;
     }
     this->erase(name, "its entry was removed");
@@ -102,7 +106,8 @@
         return;
     const auto known = found->second;
     this->by_name.erase(found);
-    std::erase(this->by_service[known->facts.service], known);
+    std::erase(this->by_service[known->facts.service].list, known);
+    this->count_missing(known->facts.service);
     this->log("target.removed", *known, why);
 }
 
@@ -143,7 +148,7 @@
     const auto found = this->by_service.find(service);
     if (found == this->by_service.end())
         return {};
-    return found->second;
+    return found->second.list;
 }
 
 std::vector<std::shared_ptr<known_target>> target_catalog::all() const {
@@ -154,8 +159,20 @@
     return result;
 }
 
+void target_catalog::count_missing(helpers::service_id service) {
+    auto& targets = this->by_service[service];
+    const auto missing = std::count_if(targets.list.begin(), targets.list.end(),
+                                       [](const auto& each) { return each->is_missing; });
+    targets.is_mostly_missing = static_cast<std::size_t>(missing) * 2 > targets.list.size();
+}
+
 bool target_catalog::may_get_work(const known_target& which) const {
-    return !which.facts.is_draining && !this->is_departed(which.facts.data_centre);
+    if (which.facts.is_draining || this->is_departed(which.facts.data_centre))
+        return false;
+    if (!which.is_missing)
+        return true;
+    const auto found = this->by_service.find(which.facts.service);
+    return found != this->by_service.end() && found->second.is_mostly_missing;
 }
 
 void target_catalog::log(std::string_view what, const known_target& which, std::string_view why) {
--- a/src/discovery/target_catalog.hpp
+++ b/src/discovery/target_catalog.hpp
@@ -22,7 +22,8 @@
     // Until then it bears only its service's cold rate.
     helpers::time_point cold_until{};
     helpers::time_point added_at{};
-    // Its entry is gone from the registry; it may only be late.
+    // Its entry is gone from the registry; it may only be late. It gets no work meanwhile, unless
+    // most targets of the service are missing, as after an outage of the registry.
     bool is_missing = false;
 };
 
@@ -69,17 +70,24 @@
 private:
     using target_list = std::vector<std::shared_ptr<known_target>>;
 
+    struct service_targets {
+        target_list list;
+        // Most of them are missing.
+        bool is_mostly_missing = false;
+    };
+
     void add(target facts, helpers::time_point now);
     void erase(const std::string& name, std::string_view why);
     void log(std::string_view what, const known_target& which, std::string_view why);
     bool removal_is_uncertain(helpers::time_point now) const;
+    void count_missing(helpers::service_id service);
     void tell();
 
     kernel::event_sink& events;
     catalog_timing timing;
     std::unordered_map<std::string, std::shared_ptr<known_target>> by_name;
     // Invariant: holds exactly the targets of by_name.
-    std::unordered_map<helpers::service_id, target_list> by_service;
+    std::unordered_map<helpers::service_id, service_targets> by_service;
     std::set<std::string> departed;
     bool registry_away = false;
     helpers::time_point uncertain_until{};
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -95,6 +95,7 @@
         list.push_back(this->self);
     }
     std::vector<std::string> names;
+    names.reserve(list.size());
     for (const auto& each : list)
         names.push_back(each.name);
     this->dispatch.set_members(std::move(names));
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -143,7 +143,7 @@
         wanted.wait_until = std::min(now + stream_silence / 2, this->deadline);
     wanted.tried = this->tried;
     wanted.assigned = [this](assignment made) { this->on_assigned(std::move(made)); };
-    wanted.refused = [this](kernel::error reason) {
+    wanted.refused = [this](const kernel::error& reason) {
         this->ticket = 0;
         this->finish_without_answer(
             this->may_have_run ? attempt_end::maybe_run : attempt_end::not_run, reason);
@@ -421,7 +421,7 @@
     this->refuse(reason, this->may_have_run ? request_outcome::unknown : request_outcome::not_run);
 }
 
-void proxied_request::give_up(kernel::error reason) {
+void proxied_request::give_up(const kernel::error& reason) {
     if (this->has_ended)
         return;
     this->call.reset();
@@ -430,8 +430,7 @@
         this->end("broken", reason.detail);
         return;
     }
-    this->refuse(std::move(reason),
-                 this->may_have_run ? request_outcome::unknown : request_outcome::not_run);
+    this->refuse(reason, this->may_have_run ? request_outcome::unknown : request_outcome::not_run);
 }
 
 helpers::duration proxied_request::retry_after() const {
@@ -443,7 +442,7 @@
         bound * (0.5 + this->services.random.fraction() / 2));
 }
 
-void proxied_request::refuse(kernel::error reason, request_outcome outcome) {
+void proxied_request::refuse(const kernel::error& reason, request_outcome outcome) {
     http::error_response answer{reason, outcome, this->facts.id, std::nullopt};
     const auto status_of = [](error_kind kind) { return kernel::answer_for(kind).http_status; };
     constexpr int unavailable = 503;
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -59,7 +59,7 @@
     void start();
 
     // Ends the request now: refused if it was never sent, broken off otherwise.
-    void give_up(kernel::error reason);
+    void give_up(const kernel::error& reason);
 
     // Whether a target is at work on it.
     bool is_sent() const { return this->sends > 0; }
@@ -101,7 +101,7 @@
     void send_again();
     void finish_without_answer(attempt_end how, const kernel::error& reason);
     void release(result how);
-    void refuse(kernel::error reason, kernel::request_outcome outcome);
+    void refuse(const kernel::error& reason, kernel::request_outcome outcome);
     helpers::duration retry_after() const;
     void later(kernel::task work);
     void end(std::string_view outcome, std::string_view reason);
--- a/src/http/request_head.cpp
+++ b/src/http/request_head.cpp
@@ -23,6 +23,8 @@
     int lengths = 0;
     int encodings = 0;
     int hosts = 0;
+    // From HTTP/1.1 on.
+    bool needs_host = true;
 
     void add(std::string_view line) {
         this->lengths += is_field(line, "content-length") ? 1 : 0;
@@ -35,7 +37,7 @@
             return head_fault::length_and_encoding;
         if (this->lengths > 1)
             return head_fault::repeated_length;
-        if (this->hosts == 0)
+        if (this->hosts == 0 && this->needs_host)
             return head_fault::no_host;
         return this->hosts > 1 ? head_fault::repeated_host : head_fault::none;
     }
@@ -58,7 +60,9 @@
             return counts.fault();
         if (!line.empty() && (line.front() == ' ' || line.front() == '\t'))
             return head_fault::folded_field;
-        if (!is_request_line)
+        if (is_request_line)
+            counts.needs_host = !line.ends_with("HTTP/1.0");
+        else
             counts.add(line);
         is_request_line = line.empty() && is_request_line;
     }
