--- a/src/discovery/target_catalog.cpp
+++ b/src/discovery/target_catalog.cpp
@@ -6,6 +6,13 @@
 
 namespace samphirespool::discovery {
 
+namespace {
+
+// Of targets that were there before this process.
+constexpr helpers::duration assumed_age = std::chrono::hours(1);
+
+} // namespace
+
 void target_catalog::replace(std::vector<target> all, helpers::time_point now) {
     std::set<std::string> listed;
     for (auto& each : all) {
@@ -18,6 +25,7 @@
             missing.push_back(name);
     for (const auto& name : missing)
         this->remove(name, now);
+    this->has_first_list = true;
 }
 
 void target_catalog::update(target changed, helpers::time_point now) {
@@ -51,7 +59,7 @@
 void target_catalog::add(target facts, helpers::time_point now) {
     auto known = std::make_shared<known_target>();
     known->serial = ++this->last_serial;
-    known->added_at = now;
+    known->added_at = this->has_first_list ? now : now - assumed_age;
     if (facts.cold_for > helpers::duration::zero())
         known->cold_until = now + facts.cold_for + this->timing.cold_margin;
     known->facts = std::move(facts);
--- a/src/discovery/target_catalog.hpp
+++ b/src/discovery/target_catalog.hpp
@@ -21,6 +21,7 @@
     target facts;
     // Until then it bears only its service's cold rate.
     helpers::time_point cold_until{};
+    // Long ago for targets of the first list, whose real age is unknown.
     helpers::time_point added_at{};
     // Its entry is gone from the registry; it may only be late. It gets no work meanwhile, unless
     // most targets of the service are missing, as after an outage of the registry.
@@ -89,6 +90,7 @@
     // Invariant: holds exactly the targets of by_name.
     std::unordered_map<helpers::service_id, service_targets> by_service;
     std::set<std::string> departed;
+    bool has_first_list = false;
     bool registry_away = false;
     helpers::time_point uncertain_until{};
     std::uint64_t last_serial = 0;
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -111,7 +111,7 @@
         add_fault(faults, rule.key, "must be a single value");
         return;
     }
-    const auto text = node.Scalar();
+    const auto& text = node.Scalar();
     const auto wanted = std::visit(value_reader{into, text}, rule.target);
     if (!wanted.empty())
         add_fault(faults, rule.key, "must be " + std::string(wanted));
