--- a/scripts/gatewaylib/faults.py
+++ b/scripts/gatewaylib/faults.py
@@ -177,6 +177,22 @@
     await _for_a_while(world, target.name, act, undo)
 
 
+async def service_is_full(world):
+    """Every target of a service refuses, so that the gateways have to."""
+    chosen = world.chance.choice(SERVICES)
+    full = [t for t in world.targets if t.service == chosen]
+
+    async def act():
+        for target in full:
+            target.fault = ("shed", 1.0)
+
+    async def undo():
+        for target in full:
+            target.fault = ("none", 0.0)
+
+    await _for_a_while(world, chosen, act, undo, 0.5, 1.5)
+
+
 async def target_crashes(world):
     target = _one(world, world.targets)
 
@@ -291,7 +307,7 @@
 
 TABLE = (
     store_fails, store_forgets, store_link_fails, target_link_fails, connections_reset,
-    target_misbehaves, target_crashes, target_leaves, data_centre_leaves, key_is_revoked,
+    target_misbehaves, service_is_full, target_crashes, target_leaves, data_centre_leaves, key_is_revoked,
     configurations_storm, gateway_is_killed, gateway_stands_still, gateway_restarts,
     settings_are_read,
 )
--- a/src/admission/target_load.cpp
+++ b/src/admission/target_load.cpp
@@ -10,8 +10,6 @@
 
 // A report loses half of its weight in this time; requests last about as long.
 constexpr double half_life_s = 1.0;
-// Sums of the exchange come several times a second; older ones are worth no more than reports.
-constexpr helpers::duration exchange_age = std::chrono::milliseconds(800);
 constexpr helpers::duration first_ejection = std::chrono::milliseconds(700);
 constexpr helpers::duration longest_ejection = std::chrono::seconds(5);
 constexpr std::uint32_t most_doublings = 4;
@@ -42,14 +40,13 @@
     this->has_report = true;
 }
 
-void target_load::set_others(std::uint32_t count, helpers::time_point now) {
+void target_load::set_others(std::uint32_t count, helpers::time_point valid_until) {
     this->exchanged_others = count;
-    this->exchanged_at = now;
+    this->exchanged_until = valid_until;
 }
 
 double target_load::others(double usual, helpers::time_point now) const {
-    const bool is_exchanged = this->exchanged_at != helpers::time_point{};
-    if (is_exchanged && now - this->exchanged_at < exchange_age)
+    if (now < this->exchanged_until)
         return this->exchanged_others;
     if (!this->has_report)
         return usual;
--- a/src/admission/target_load.hpp
+++ b/src/admission/target_load.hpp
@@ -25,7 +25,7 @@
     // The target's own word, which is exact for a moment.
     void report(const load_report& given, helpers::time_point now);
     // What the other gateways together have there, by the exchange.
-    void set_others(std::uint32_t count, helpers::time_point now);
+    void set_others(std::uint32_t count, helpers::time_point valid_until);
 
     // Requests there, of everyone. What others have there is taken for `usual` where no report
     // says more.
@@ -58,7 +58,7 @@
     helpers::time_point reported_at{};
     bool has_report = false;
     std::uint32_t exchanged_others = 0;
-    helpers::time_point exchanged_at{};
+    helpers::time_point exchanged_until{};
     std::uint32_t failures = 0;
     helpers::time_point ejected_until{};
     std::deque<helpers::time_point> sends;
--- a/src/exchange/exchange_node.cpp
+++ b/src/exchange/exchange_node.cpp
@@ -252,7 +252,7 @@
         const auto used = found == mine.end() ? 0U : found->second;
         each.requests -= std::min(each.requests, used);
     }
-    this->others(rest);
+    this->others(rest, this->interval());
 }
 
 } // namespace samphirespool::exchange
--- a/src/exchange/exchange_node.hpp
+++ b/src/exchange/exchange_node.hpp
@@ -22,7 +22,8 @@
     // Between reports. Requests last from tens of milliseconds to seconds.
     helpers::duration interval = std::chrono::milliseconds(100);
     // With many targets reports are larger and come more rarely: an interval for each of them.
-    helpers::duration interval_per_target = std::chrono::microseconds(500);
+    // 16 bytes each: at the size to design for 16 KB/s, of 22 that a node may use.
+    helpers::duration interval_per_target = std::chrono::milliseconds(1);
     // A hub that has not answered for this long, beyond the interval, is passed over.
     helpers::duration answer_timeout = std::chrono::milliseconds(300);
     helpers::duration suspicion = std::chrono::seconds(2);
@@ -46,8 +47,8 @@
 
     // This gateway's own counts; asked before each report.
     void set_counts(std::function<target_counts()> source) { this->counts = std::move(source); }
-    // Gets the fleet's sums without what this gateway itself had reported.
-    void on_others(std::function<void(const target_counts&)> task) {
+    // Gets the fleet's sums without what this gateway itself had reported, and when the next come.
+    void on_others(std::function<void(const target_counts&, helpers::duration)> task) {
         this->others = std::move(task);
     }
 
@@ -87,7 +88,7 @@
     std::string self;
     exchange_timing timing;
     std::function<target_counts()> counts;
-    std::function<void(const target_counts&)> others;
+    std::function<void(const target_counts&, helpers::duration)> others;
     std::array<feed_log, feed_count> logs;
     load_board board;
     std::vector<member> members;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -16,8 +16,8 @@
 constexpr double report_weight = 0.1;
 // A target this new holds nothing of earlier prompts.
 constexpr helpers::duration newness = std::chrono::seconds(3);
-// How far apart the sums of the exchange are; see exchange::exchange_timing.
-constexpr helpers::duration exchange_interval = std::chrono::milliseconds(100);
+// Sums that are this many intervals old are worth no more than the targets' own reports.
+constexpr int exchange_intervals = 8;
 constexpr std::size_t loads_kept = 4096;
 constexpr std::uint32_t default_slots = 1;
 // An output token takes a step of the engine; prompts are read many tokens at a time.
@@ -138,8 +138,9 @@
 }
 
 placement::choice_pace dispatcher::pace() const {
-    return {this->loop.time().now(), static_cast<double>(this->members - 1) *
-                                         std::chrono::duration<double>(exchange_interval).count()};
+    return {this->loop.time().now(),
+            static_cast<double>(this->members - 1) *
+                std::chrono::duration<double>(this->exchange_interval).count()};
 }
 
 std::optional<helpers::endpoint> dispatcher::address_of(helpers::service_id service,
@@ -265,14 +266,16 @@
     return result;
 }
 
-void dispatcher::set_others(const exchange::target_counts& others) {
+void dispatcher::set_others(const exchange::target_counts& others, helpers::duration interval) {
     const auto now = this->loop.time().now();
+    this->exchange_interval = interval;
+    const auto valid_until = now + interval * exchange_intervals;
     std::unordered_map<std::uint64_t, std::uint32_t> by_name;
     for (const auto& each : others)
         by_name[each.target] = each.requests;
     for (const auto& target : this->catalog.all()) {
         const auto found = by_name.find(helpers::hash_name(target->facts.name));
-        this->load_of(*target).set_others(found == by_name.end() ? 0 : found->second, now);
+        this->load_of(*target).set_others(found == by_name.end() ? 0 : found->second, valid_until);
     }
 }
 
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -87,7 +87,7 @@
 
     // This gateway's requests on each target, and those of the others.
     exchange::target_counts own_counts() const;
-    void set_others(const exchange::target_counts& others);
+    void set_others(const exchange::target_counts& others, helpers::duration interval);
 
     admission::repeat_budget& repeats() { return this->budget; }
 
@@ -146,6 +146,8 @@
     // Most urgent first, then in turns of the organisations.
     std::map<queue_key, dispatch_ticket> queue;
     admission::turn_order turns;
+    // How far apart the sums of the exchange are.
+    helpers::duration exchange_interval{};
     // Gateways, this one included.
     std::size_t members = 1;
     ticket_id last_ticket = 0;
