Tell the busiest targets only; end a request's call and place in the queue with it

Reading the request again: a target's bytes could come between the end of a request and its removal; a 503 without the target's seal went to callers as a promise. Change: answers list at most 150 targets and bound the rest, sums are kept for 40 ms; the call and the ticket end with the request; unsealed promises count as unknown. Each with a test.

--- a/src/exchange/exchange_node.cpp
+++ b/src/exchange/exchange_node.cpp
@@ -96,7 +96,7 @@
         return;
     const auto own = this->counts();
     this->board.report(this->self, own, now);
-    this->tell_others(this->board.total(now), own);
+    this->tell_others(this->sums(now), own);
     if (this->is_hub())
         this->ask_other_hubs();
 }
@@ -162,7 +162,9 @@
         result.loads = this->board.group_total(now);
         return result;
     }
-    result.loads = this->board.total(now);
+    const auto& totals = this->sums(now);
+    result.loads = totals.listed;
+    result.unlisted_at_most = totals.rest_at_most;
     for (std::size_t i = 0; i < feed_count; ++i) {
         const auto& feed = *this->feeds[i];
         feed_news news;
@@ -209,7 +211,7 @@
     this->last_answer = now;
     if (message.round == this->round) {
         this->is_waiting = false;
-        this->tell_others(message.loads, this->reported);
+        this->tell_others({message.loads, message.unlisted_at_most}, this->reported);
     }
     this->take_news(message.feeds);
 }
@@ -239,20 +241,28 @@
         feed->ask_directly(wait);
 }
 
-void exchange_node::tell_others(const target_counts& totals, const target_counts& own) {
-    this->known_targets = totals.size();
+const largest_counts& exchange_node::sums(helpers::time_point now) {
+    if (now - this->summed_at >= this->timing.sum_interval) {
+        this->newest_sums = largest_of(this->board.total(now), this->timing.most_listed);
+        this->summed_at = now;
+    }
+    return this->newest_sums;
+}
+
+void exchange_node::tell_others(const largest_counts& totals, const target_counts& own) {
+    this->known_targets = totals.listed.size();
     if (!this->others)
         return;
     std::unordered_map<std::uint64_t, std::uint32_t> mine;
     for (const auto& each : own)
         mine[each.target] = each.requests;
-    auto rest = totals;
+    auto rest = totals.listed;
     for (auto& each : rest) {
         const auto found = mine.find(each.target);
         const auto used = found == mine.end() ? 0U : found->second;
         each.requests -= std::min(each.requests, used);
     }
-    this->others(rest, this->interval());
+    this->others(rest, totals.rest_at_most, this->interval());
 }
 
 } // namespace samphirespool::exchange
--- a/src/exchange/exchange_node.hpp
+++ b/src/exchange/exchange_node.hpp
@@ -21,9 +21,13 @@
 struct exchange_timing {
     // Between reports. Requests last from tens of milliseconds to seconds.
     helpers::duration interval = std::chrono::milliseconds(100);
-    // With many targets reports are larger and come more rarely: an interval for each of them.
-    // 16 bytes each: at the size to design for 16 KB/s, of 22 that a node may use.
+    // Answers that list more targets come more rarely: 16 KB/s at 16 bytes each, of 22 that a node
+    // may use at the size to design for.
     helpers::duration interval_per_target = std::chrono::milliseconds(1);
+    // The busiest targets; the others are far from any bound.
+    std::size_t most_listed = 150;
+    // Sums are added up again no sooner.
+    helpers::duration sum_interval = std::chrono::milliseconds(40);
     // A hub that has not answered for this long, beyond the interval, is passed over.
     helpers::duration answer_timeout = std::chrono::milliseconds(300);
     helpers::duration suspicion = std::chrono::seconds(2);
@@ -47,10 +51,10 @@
 
     // This gateway's own counts; asked before each report.
     void set_counts(std::function<target_counts()> source) { this->counts = std::move(source); }
-    // Gets the fleet's sums without what this gateway itself had reported, and when the next come.
-    void on_others(std::function<void(const target_counts&, helpers::duration)> task) {
-        this->others = std::move(task);
-    }
+    // Gets the fleet's sums without what this gateway itself had reported, what targets that are
+    // not listed have at most, and when the next sums come.
+    using others_task = std::function<void(const target_counts&, std::uint32_t, helpers::duration)>;
+    void on_others(others_task task) { this->others = std::move(task); }
 
     void set_members(std::vector<member> members);
     void start();
@@ -73,7 +77,8 @@
     void take_news(const std::vector<feed_news>& feeds);
     void ask_source_directly(helpers::duration wait);
     answer answer_to(const report& message, helpers::time_point now);
-    void tell_others(const target_counts& totals, const target_counts& own);
+    void tell_others(const largest_counts& totals, const target_counts& own);
+    const largest_counts& sums(helpers::time_point now);
     report make_report(bool for_group, target_counts loads) const;
     helpers::duration interval() const;
     bool take_news_budget(const std::vector<discovery::feed_object>& changes,
@@ -88,9 +93,11 @@
     std::string self;
     exchange_timing timing;
     std::function<target_counts()> counts;
-    std::function<void(const target_counts&, helpers::duration)> others;
+    others_task others;
     std::array<feed_log, feed_count> logs;
     load_board board;
+    largest_counts newest_sums;
+    helpers::time_point summed_at{};
     std::vector<member> members;
     std::map<std::string, member_group> groups;
     std::string own_group;
--- a/src/exchange/load_board.cpp
+++ b/src/exchange/load_board.cpp
@@ -1,8 +1,22 @@
 // Adds up reports.
 #include "exchange/load_board.hpp"
 
+#include <algorithm>
+
 namespace samphirespool::exchange {
 
+largest_counts largest_of(target_counts counts, std::size_t most) {
+    if (counts.size() <= most)
+        return {std::move(counts), 0};
+    const auto end = counts.begin() + static_cast<std::ptrdiff_t>(most);
+    std::nth_element(
+        counts.begin(), end, counts.end(),
+        [](const target_count& a, const target_count& b) { return a.requests > b.requests; });
+    const auto rest = end->requests;
+    counts.erase(end, counts.end());
+    return {std::move(counts), rest};
+}
+
 void load_board::put(entries& into, const std::string& name, target_counts counts,
                      helpers::time_point now) {
     std::erase_if(into, [now](const auto& each) { return now - each.second.at > max_age; });
--- a/src/exchange/load_board.hpp
+++ b/src/exchange/load_board.hpp
@@ -9,6 +9,15 @@
 
 namespace samphirespool::exchange {
 
+struct largest_counts {
+    target_counts listed;
+    // Of those left out.
+    std::uint32_t rest_at_most = 0;
+};
+
+// At most so many of the counts.
+largest_counts largest_of(target_counts counts, std::size_t most);
+
 class load_board {
 public:
     void report(const std::string& member, target_counts counts, helpers::time_point now);
--- a/src/exchange/message.hpp
+++ b/src/exchange/message.hpp
@@ -49,8 +49,10 @@
     std::uint32_t round = 0;
     // Left out in answers to other hubs.
     std::vector<feed_news> feeds;
-    // Of the whole fleet, or of the group in answers to other hubs.
+    // Of the whole fleet, or of the group in answers to other hubs; the largest ones.
     target_counts loads;
+    // No target that is left out has more.
+    std::uint32_t unlisted_at_most = 0;
 };
 
 } // namespace samphirespool::exchange
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -266,7 +266,8 @@
     return result;
 }
 
-void dispatcher::set_others(const exchange::target_counts& others, helpers::duration interval) {
+void dispatcher::set_others(const exchange::target_counts& others, std::uint32_t unlisted_at_most,
+                            helpers::duration interval) {
     const auto now = this->loop.time().now();
     this->exchange_interval = interval;
     const auto valid_until = now + interval * exchange_intervals;
@@ -275,7 +276,8 @@
         by_name[each.target] = each.requests;
     for (const auto& target : this->catalog.all()) {
         const auto found = by_name.find(helpers::hash_name(target->facts.name));
-        this->load_of(*target).set_others(found == by_name.end() ? 0 : found->second, valid_until);
+        this->load_of(*target).set_others(
+            found == by_name.end() ? unlisted_at_most / 2 : found->second, valid_until);
     }
 }
 
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -87,7 +87,8 @@
 
     // This gateway's requests on each target, and those of the others.
     exchange::target_counts own_counts() const;
-    void set_others(const exchange::target_counts& others, helpers::duration interval);
+    void set_others(const exchange::target_counts& others, std::uint32_t unlisted_at_most,
+                    helpers::duration interval);
 
     admission::repeat_budget& repeats() { return this->budget; }
 
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -4,6 +4,7 @@
 #include "http/error_response.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace samphirespool::gateway {
@@ -50,6 +51,12 @@
     return status >= first_success && status < first_redirect;
 }
 
+// Callers take these to mean that the request has not run.
+bool is_promise(int status) {
+    constexpr std::array<int, 4> promises{408, 421, 429, 503};
+    return std::find(promises.begin(), promises.end(), status) != promises.end();
+}
+
 } // namespace
 
 proxied_request::proxied_request(request_services& services, std::unique_ptr<http::exchange> caller,
@@ -113,10 +120,10 @@
         return false;
     }
     this->priority = this->route->priority;
-    return this->check_key(asked);
+    return this->check_key();
 }
 
-bool proxied_request::check_key(const http::server_request&) {
+bool proxied_request::check_key() {
     const auto* holder = this->table->find_key(this->facts.key);
     if (holder != nullptr) {
         this->organisation = holder->organisation;
@@ -154,6 +161,7 @@
 
 void proxied_request::on_assigned(assignment made) {
     this->ticket = 0;
+    this->last_target = made.target->facts.name;
     this->current = std::move(made);
     this->waited_ms = this->milliseconds_since_start();
     // The dispatcher is still in its own work.
@@ -163,7 +171,6 @@
 void proxied_request::send() {
     ++this->connects;
     this->has_events = false;
-    this->own_answer = false;
     this->suspected = false;
     this->held.clear();
     this->splitter.restart();
@@ -272,8 +279,9 @@
                             {error_kind::queue_full, "the target did not run the request"});
         return;
     }
-    if (!this->is_own_answer(headers) ||
-        (is_success(given) && !http::find_header(headers, names.seal))) {
+    // Without a seal neither a success nor a promise that nothing ran is the target's word.
+    const bool needs_seal = is_success(given) || is_promise(given);
+    if (!this->is_own_answer(headers) || (needs_seal && !http::find_header(headers, names.seal))) {
         this->attempt_ended(attempt_end::maybe_run,
                             {error_kind::target_failed, "the answer is not of this request"});
         return;
@@ -283,7 +291,6 @@
                             {error_kind::answer_truncated, "the stream was not continued"});
         return;
     }
-    this->own_answer = true;
     const auto type = http::find_header(headers, "content-type").value_or("");
     this->has_events =
         is_success(given) && (this->route->is_streaming || type.starts_with("text/event-stream"));
@@ -383,14 +390,13 @@
 void proxied_request::close_attempt(attempt_end how, const kernel::error& reason, result judged) {
     this->call.reset();
     this->services.loop.cancel(std::exchange(this->silence_timer, 0));
-    this->services.events.write(
-        kernel::severity::warning, "request.attempt_failed", std::nullopt,
-        {{"request_id", this->facts.id},
-         {"target", this->current ? this->current->target->facts.name : std::string()},
-         {"attempt", std::uint64_t{this->connects}},
-         {"reason", reason.detail},
-         {"may_have_run", how != attempt_end::not_run},
-         {"left_ms", milliseconds_of(this->left())}});
+    this->services.events.write(kernel::severity::warning, "request.attempt_failed", std::nullopt,
+                                {{"request_id", this->facts.id},
+                                 {"target", this->last_target},
+                                 {"attempt", std::uint64_t{this->connects}},
+                                 {"reason", reason.detail},
+                                 {"may_have_run", how != attempt_end::not_run},
+                                 {"left_ms", milliseconds_of(this->left())}});
     this->is_at_target = false;
     this->may_have_run = this->may_have_run || how != attempt_end::not_run;
     if (this->current)
@@ -494,6 +500,10 @@
     this->services.loop.cancel(std::exchange(this->deadline_timer, 0));
     this->services.loop.cancel(std::exchange(this->silence_timer, 0));
     this->services.loop.cancel(std::exchange(this->later_timer, 0));
+    // Nothing of the target or the queue may come any more.
+    this->call.reset();
+    if (this->ticket != 0)
+        this->services.dispatch.withdraw(std::exchange(this->ticket, 0));
     const auto total = this->milliseconds_since_start();
     if (this->services.latencies.total)
         this->services.latencies.total(static_cast<double>(total) / 1000);
@@ -504,7 +514,7 @@
          {"route", this->route == nullptr ? std::string() : this->route->name},
          {"organisation", this->organisation},
          {"version", this->table == nullptr ? 0 : this->table->values().version},
-         {"target", this->current ? this->current->target->facts.name : std::string()},
+         {"target", this->last_target},
          {"outcome", std::string(outcome)},
          {"reason", std::string(reason)},
          {"status", std::int64_t{this->status}},
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -78,7 +78,7 @@
     };
 
     bool admit();
-    bool check_key(const http::server_request& asked);
+    bool check_key();
     void ask_for_target();
     void on_assigned(assignment made);
     void send();
@@ -119,6 +119,8 @@
     helpers::time_point deadline{};
     dispatcher::ticket_id ticket = 0;
     std::optional<assignment> current;
+    // For the log.
+    std::string last_target;
     std::unique_ptr<http::client_call> call;
     std::vector<std::uint64_t> tried;
     // Times the request reached, or may have reached, a target.
@@ -129,7 +131,6 @@
     // The attempt in progress has reached its target.
     bool is_at_target = false;
     bool has_events = false;
-    bool own_answer = false;
     int status = 0;
     http::header_list answer_fields;
     // Answers that are not streams are passed on whole.
--- a/src/wire/exchange_codec.cpp
+++ b/src/wire/exchange_codec.cpp
@@ -62,7 +62,8 @@
         feeds.push_back(write_news(builder, each));
     const auto feeds_at = builder.CreateVector(feeds);
     const auto loads_at = builder.CreateVectorOfStructs(to_wire(content.loads));
-    const auto answer = fb::Createexchange_answer(builder, content.round, feeds_at, loads_at);
+    const auto answer = fb::Createexchange_answer(builder, content.round, feeds_at, loads_at,
+                                                  content.unlisted_at_most);
     builder.Finish(fb::Createexchange_message(builder, 0, answer));
 }
 
@@ -97,6 +98,7 @@
 std::optional<exchange_message> read_answer(const fb::exchange_answer& from) {
     exchange::answer result;
     result.round = from.round();
+    result.unlisted_at_most = from.unlisted_at_most();
     result.loads = from_wire(from.loads());
     if (from.feeds() == nullptr)
         return result;
--- a/tests/exchange/test_exchange_node.cpp
+++ b/tests/exchange/test_exchange_node.cpp
@@ -78,7 +78,8 @@
                {}) {
         network.links[self.address] = &this->link;
         this->node.set_counts([this] { return this->counts; });
-        this->node.on_others([this](const auto& sums, helpers::duration) { this->others = sums; });
+        this->node.on_others(
+            [this](const auto& sums, std::uint32_t, helpers::duration) { this->others = sums; });
         for (auto* feed : {&configuration, &targets, &departures, &members})
             feed->start();
         for (int i = 0; i < 4; ++i)
--- a/tests/exchange/test_exchange_parts.cpp
+++ b/tests/exchange/test_exchange_parts.cpp
@@ -72,6 +72,19 @@
     CHECK(board.total(start + 10s).empty());
 }
 
+TEST_CASE("load board: the largest counts, and a bound for the rest") {
+    exchange::target_counts counts;
+    for (std::uint32_t i = 0; i < 1000; ++i)
+        counts.push_back({i, i % 100});
+    const auto largest = exchange::largest_of(counts, 50);
+    CHECK(largest.listed.size() == 50);
+    for (const auto& each : largest.listed)
+        CHECK(each.requests >= 95);
+    CHECK(largest.rest_at_most == 94);
+    CHECK(exchange::largest_of(counts, 2000).listed.size() == 1000);
+    CHECK(exchange::largest_of(counts, 2000).rest_at_most == 0);
+}
+
 TEST_CASE("exchange codec: messages come back as they were, and garbage does not") {
     exchange::report report;
     report.round = 4;
@@ -89,9 +102,11 @@
 
     exchange::answer answer;
     answer.round = 9;
+    answer.unlisted_at_most = 3;
     answer.feeds.push_back({discovery::collection::members, 250ms, 77, true, {{"x", "{}"}}});
     const auto answered = wire::decode_exchange(wire::encode_exchange(answer));
     REQUIRE(answered);
+    CHECK(std::get<exchange::answer>(*answered).unlisted_at_most == 3);
     const auto& news = std::get<exchange::answer>(*answered).feeds.front();
     CHECK(news.which == discovery::collection::members);
     CHECK(news.age == 250ms);
--- a/tests/gateway/test_load_patterns.cpp
+++ b/tests/gateway/test_load_patterns.cpp
@@ -130,7 +130,7 @@
             exchange::target_counts others;
             for (const auto& [target, requests] : rest)
                 others.push_back({target, requests});
-            each->dispatch.set_others(others, 100ms);
+            each->dispatch.set_others(others, 0, 100ms);
         }
     }
 
--- a/tests/gateway/test_proxied_request.cpp
+++ b/tests/gateway/test_proxied_request.cpp
@@ -294,3 +294,38 @@
     CHECK(caller.answer.closes_connection);
     CHECK(caller.answer.status == 200);
 }
+
+TEST_CASE("gateway: a refusal that is not the target's own word is no promise to the caller") {
+    gateway_harness harness;
+    auto& caller = harness.send("/book/1");
+    harness.last_call().connect();
+    harness.last_call().listener->on_head(503, {{"x-request-id", "id-1"}});
+    harness.settle();
+    CHECK(harness.sent() == 1);
+    CHECK(caller.answer.status == 502);
+}
+
+TEST_CASE("gateway: what comes of a target after its caller has left is dropped") {
+    gateway_harness harness;
+    auto& caller = harness.send("/talk/1");
+    harness.last_call().connect();
+    harness.last_call().head(200);
+    harness.last_call().body("id: 1\ndata: a\n\n");
+    caller.answer.departed();
+    // Before the loop has come round the call is cancelled, so the target cannot bring more.
+    CHECK(harness.last_call().is_cancelled);
+    harness.settle();
+    CHECK(caller.answer.body == "id: 1\ndata: a\n\n");
+}
+
+TEST_CASE("gateway: a waiting request whose caller leaves gives its place up") {
+    gateway_harness harness(1);
+    // Eight slots, and as many may wait at a plain target.
+    for (int i = 0; i < 16; ++i)
+        harness.send("/book/1");
+    auto& caller = harness.send("/book/1");
+    CHECK(harness.sent() == 16);
+    CHECK(harness.dispatch.waiting() == 1);
+    caller.answer.departed();
+    CHECK(harness.dispatch.waiting() == 0);
+}
