--- a/scripts/gatewaylib/callers.py
+++ b/scripts/gatewaylib/callers.py
@@ -6,7 +6,7 @@
 import time
 
 from gatewaylib import http
-from gatewaylib.targets import EVENTS, answer_text, event
+from gatewaylib.targets import answer_text, event, events_of
 
 HOST = "shop.example"
 KINDS = ("book", "look", "stream", "streamresume")
@@ -105,5 +105,5 @@
     @staticmethod
     def expected(seen):
         if seen.what.startswith("stream"):
-            return b"".join(event(seen.attempt, n) for n in range(1, EVENTS + 1))
+            return b"".join(event(seen.attempt, n) for n in range(1, events_of(seen.attempt) + 1))
         return answer_text(seen.attempt).encode()
--- a/scripts/gatewaylib/proxy.py
+++ b/scripts/gatewaylib/proxy.py
@@ -34,9 +34,13 @@
             http.reset(writer)
             return
         self.open |= {writer, far_writer}
-        await asyncio.gather(
-            self.pump(reader, far_writer, "silent_to"), self.pump(far_reader, writer, "silent_from")
-        )
+        try:
+            await asyncio.gather(
+                self.pump(reader, far_writer, "silent_to"), self.pump(far_reader, writer, "silent_from")
+            )
+        except asyncio.CancelledError:
+            # The soak has ended.
+            return
         self.open -= {writer, far_writer}
 
     async def pump(self, reader, writer, cut):
--- a/scripts/gatewaylib/targets.py
+++ b/scripts/gatewaylib/targets.py
@@ -7,14 +7,21 @@
 from gatewaylib import http
 from gatewaylib.proxy import Proxy
 
-EVENTS = 12
 EVENT_SECONDS = 0.04
+SHORT_STREAM, LONG_STREAM = 12, 90
+# One stream in so many lasts for seconds, so that work after its caller has left can be seen.
+LONG_EVERY = 4
 
 
 def answer_text(attempt):
     return (attempt + ";") * 20
 
 
+def events_of(attempt):
+    number = int(attempt.rpartition("-")[2], 16)
+    return LONG_STREAM if number % LONG_EVERY == 0 else SHORT_STREAM
+
+
 def event(attempt, number):
     return f"id: {number}\ndata: {attempt}-{number}\n\n".encode()
 
@@ -33,6 +40,7 @@
         self.proxy = None
         self.server = None
         self.connections = set()
+        self.owes_extra = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -64,6 +72,7 @@
             pass
         finally:
             self.connections.discard(writer)
+            self.owes_extra.discard(writer)
             writer.close()
 
     async def answer(self, line, fields, body, reader, writer):
@@ -122,18 +131,24 @@
         if fault == "cut":
             writer.write(self.head(attempt, {"content-length": len(text)}) + text[:40])
             return False
+        if writer in self.owes_extra:
+            # A late second answer comes where the next one is expected.
+            self.owes_extra.discard(writer)
+            late = answer_text("other").encode()
+            writer.write(self.head("other", {"content-length": len(late)}) + late)
         writer.write(self.head(attempt, {"content-length": len(text)}) + text)
         if fault == "extra":
-            writer.write(self.head("other", {"content-length": len(text)}) + text)
+            self.owes_extra.add(writer)
         return True
 
     async def stream(self, fields, attempt, writer, fault):
         start = int(fields.get("last-event-id") or 0)
         writer.write(self.head(attempt, {"transfer-encoding": "chunked"}))
-        for number in range(start + 1, EVENTS + 1):
+        events = events_of(attempt)
+        for number in range(start + 1, events + 1):
             await asyncio.sleep(EVENT_SECONDS)
             part = event(attempt, number)
-            if fault in ("lost", "cut") and number == EVENTS // 2:
+            if fault in ("lost", "cut") and number == events // 2:
                 writer.write(b"%x\r\n" % len(part) + part[: len(part) // 2])
                 await asyncio.sleep(0)
                 http.reset(writer)
--- a/src/discovery/target_catalog.cpp
+++ b/src/discovery/target_catalog.cpp
@@ -63,6 +63,7 @@
     if (facts.cold_for > helpers::duration::zero())
         known->cold_until = now + facts.cold_for + this->timing.cold_margin;
     known->facts = std::move(facts);
+    known->name_hash = helpers::hash_name(known->facts.name);
     this->by_service[known->facts.service].list.push_back(known);
     this->count_missing(known->facts.service);
     this->log("target.added", *known, known->facts.is_draining ? "draining" : "ready");
--- a/src/discovery/target_catalog.hpp
+++ b/src/discovery/target_catalog.hpp
@@ -19,6 +19,7 @@
     // Unique within this process, also over lives under the same name.
     std::uint64_t serial = 0;
     target facts;
+    std::uint64_t name_hash = 0;
     // Until then it bears only its service's cold rate.
     helpers::time_point cold_until{};
     // Long ago for targets of the first list, whose real age is unknown.
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -92,7 +92,7 @@
     const auto& load = this->load_of(target);
     placement::choice_target view;
     view.serial = target.serial;
-    view.name = target.facts.name;
+    view.name_hash = target.name_hash;
     view.load = load.estimate(usual, now);
     view.slots = std::max(default_slots, target.facts.slots);
     view.prompt_backlog = load.prompt_backlog();
@@ -262,7 +262,7 @@
     for (const auto& target : this->catalog.all())
         if (const auto found = this->loads.find(target->serial);
             found != this->loads.end() && found->second.own() > 0)
-            result.push_back({helpers::hash_name(target->facts.name), found->second.own()});
+            result.push_back({target->name_hash, found->second.own()});
     return result;
 }
 
@@ -275,7 +275,7 @@
     for (const auto& each : others)
         by_name[each.target] = each.requests;
     for (const auto& target : this->catalog.all()) {
-        const auto found = by_name.find(helpers::hash_name(target->facts.name));
+        const auto found = by_name.find(target->name_hash);
         this->load_of(*target).set_others(
             found == by_name.end() ? unlisted_at_most / 2 : found->second, valid_until);
     }
--- a/src/placement/target_choice.cpp
+++ b/src/placement/target_choice.cpp
@@ -29,8 +29,8 @@
 constexpr double bound_ratio = 1.5;
 constexpr double bound_slack = 2;
 
-double weight_of(std::uint64_t part, std::string_view target) {
-    auto hash = part ^ helpers::hash_name(target);
+double weight_of(std::uint64_t part, std::uint64_t target) {
+    auto hash = part ^ target;
     hash ^= hash >> 33;
     hash *= 0xff51afd7ed558ccdULL;
     hash ^= hash >> 33;
@@ -69,12 +69,12 @@
         std::optional<std::size_t> home;
         for (std::size_t i = 0; i < among.size(); ++i) {
             const auto& each = among[i];
-            const auto weight = weight_of(part, each.name);
-            if (!each.is_new && (!home || weight > weight_of(part, among[*home].name)))
+            const auto weight = weight_of(part, each.name_hash);
+            if (!each.is_new && (!home || weight > weight_of(part, among[*home].name_hash)))
                 home = i;
             if (!each.is_free || !this->has_room(bound - each.load, expected))
                 continue;
-            if (!best || weight > weight_of(part, among[*best].name))
+            if (!best || weight > weight_of(part, among[*best].name_hash))
                 best = i;
         }
         // Nothing waits while a slot is free.
--- a/src/placement/target_choice.hpp
+++ b/src/placement/target_choice.hpp
@@ -34,7 +34,8 @@
 
 struct choice_target {
     std::uint64_t serial = 0;
-    std::string_view name;
+    // Of its name.
+    std::uint64_t name_hash = 0;
     // Estimated requests there, and how many run at once.
     double load = 0;
     double slots = 1;
