--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -14,8 +14,9 @@
 constexpr int most_misses = 6;
 // Weight of a new report in the mean over a service's targets.
 constexpr double report_weight = 0.1;
-// A target this new holds nothing of earlier prompts.
-constexpr helpers::duration newness = std::chrono::seconds(3);
+// In this time most parts of prompts are asked for again and come to a new target; until then it
+// fetches them from an older one.
+constexpr helpers::duration newness = std::chrono::seconds(10);
 // Sums that are this many intervals old are worth no more than the targets' own reports.
 constexpr int exchange_intervals = 8;
 constexpr std::size_t loads_kept = 4096;
@@ -97,7 +98,8 @@
     view.slots = std::max(default_slots, target.facts.slots);
     view.prompt_backlog = load.prompt_backlog();
     view.same_data_centre = target.facts.data_centre == this->settings.data_centre;
-    view.is_new = now < target.cold_until || now - target.added_at < newness;
+    view.is_holder =
+        now >= target.cold_until && now - target.added_at >= newness && !load.is_on_trial();
     return view;
 }
 
--- a/src/placement/target_choice.cpp
+++ b/src/placement/target_choice.cpp
@@ -70,7 +70,7 @@
         for (std::size_t i = 0; i < among.size(); ++i) {
             const auto& each = among[i];
             const auto weight = weight_of(part, each.name_hash);
-            if (!each.is_new && (!home || weight > weight_of(part, among[*home].name_hash)))
+            if (each.is_holder && (!home || weight > weight_of(part, among[*home].name_hash)))
                 home = i;
             if (!each.is_free || !this->has_room(bound - each.load, expected))
                 continue;
--- a/src/placement/target_choice.hpp
+++ b/src/placement/target_choice.hpp
@@ -42,8 +42,8 @@
     // Tokens of this process's prompts that it has not read yet.
     std::uint64_t prompt_backlog = 0;
     bool same_data_centre = false;
-    // Too new to hold much of older prompts.
-    bool is_new = false;
+    // Has been there long enough to hold parts of older prompts, and answers.
+    bool is_holder = true;
     // May be chosen. The others only tell where parts of prompts are.
     bool is_free = true;
 };
--- a/tests/gateway/test_load_patterns.cpp
+++ b/tests/gateway/test_load_patterns.cpp
@@ -37,8 +37,7 @@
         for (const auto& name : names) {
             auto& made = this->gateways.emplace_back(std::make_unique<member>(*this, name));
             made->dispatch.set_members(names);
-            for (const auto& target : this->targets)
-                made->catalog.update(target, this->loop.time().now());
+            made->catalog.replace(this->targets, this->loop.time().now());
         }
         // Everything is warm and old when the load begins.
         this->loop.advance(10s);
@@ -347,3 +346,44 @@
         }
     }
 }
+
+TEST_CASE("load pattern, scale out: a new target fetches parts from their old home, not from a "
+          "failed one") {
+    small_fleet fleet(1, 6);
+    std::map<std::uint64_t, std::string> homes;
+    for (std::uint64_t part = 100; part < 140; ++part) {
+        fleet.request(0, part, 5ms);
+        homes[part] = fleet.running.back().at.target->facts.name;
+        fleet.pass(10ms);
+    }
+    CHECK(fleet.fetches == 0);
+    auto& gateway = *fleet.gateways[0];
+    for (int i = 0; i < 6; ++i)
+        gateway.catalog.update(tests::make_target("new" + std::to_string(i), "engines", "east", 24),
+                               fleet.loop.time().now());
+    int moved = 0;
+    for (const auto& [part, home] : homes) {
+        fleet.request(0, part, 5ms);
+        const auto& made = fleet.running.back().at;
+        if (made.target->facts.name != home) {
+            ++moved;
+            REQUIRE(made.holder);
+            CHECK(*made.holder == tests::make_target(home, "engines").address);
+        }
+        fleet.pass(10ms);
+    }
+    CHECK(moved > 0);
+    // A target that fails is asked for nothing, not for parts either.
+    const auto part = homes.begin()->first;
+    const auto failed = homes.begin()->second;
+    for (int i = 0; i < 4; ++i) {
+        fleet.request(0, part, 10s);
+        auto& last = fleet.running.back();
+        gateway.dispatch.on_ended(last.at, gateway::result::failed);
+        fleet.running.pop_back();
+    }
+    fleet.request(0, part, 10s);
+    const auto& made = fleet.running.back().at;
+    if (made.holder)
+        CHECK(*made.holder != tests::make_target(failed, "engines").address);
+}
