Align payloads between processes; notice gateways that end by themselves in the soak

Cause: under the undefined-behaviour sanitizer every gateway ended at its first frame, for router and gateway alike: payloads were read in place behind a header of odd length. Change: payloads are copied to aligned memory once; the soak checks that a gateway ends only when told.

--- a/scripts/gatewaylib/checks.py
+++ b/scripts/gatewaylib/checks.py
@@ -157,6 +157,13 @@
     return [versions, lines]
 
 
+def check_lives(deaths, lives):
+    ends = Verdict("a gateway ends only when it is told to")
+    ends.exercised = lives
+    ends.violations = [f"{name}#{life} ended with {code}" for (name, life), code in deaths.items()]
+    return [ends]
+
+
 def check_service(requests):
     served = Verdict("more than half of the requests are answered whole")
     asked = [r for r in requests if r.result != "left"]
@@ -165,7 +172,7 @@
     return [served]
 
 
-def run_checks(trace, folder, targets):
+def run_checks(trace, folder, targets, fleet):
     requests = [r for r in trace.of("request") if r.ended is not None]
     runs = trace.of("run")
     runs_of = {}
@@ -176,5 +183,6 @@
     return (
         check_requests(requests, runs_of) + check_runs(requests, runs, trace.of("arrived"))
         + check_changes(trace, requests, runs, targets) + check_ends(trace, requests, runs_of)
-        + check_logs(folder) + check_service(requests)
+        + check_logs(folder) + check_lives(fleet.deaths, sum(g.life for g in fleet.gateways))
+        + check_service(requests)
     )
--- a/scripts/gatewaylib/fleet.py
+++ b/scripts/gatewaylib/fleet.py
@@ -90,6 +90,8 @@
     def __init__(self):
         self.gateways = []
         self.watching = None
+        # Exit code of each life that ended by itself.
+        self.deaths = {}
 
     def pick(self, chance):
         ready = [g for g in self.gateways if g.is_ready and g.running()]
@@ -100,6 +102,10 @@
 
     async def check(self, gateway):
         while True:
+            code = gateway.process.poll()
+            # None: it runs; 0: it left; -9: the soak killed it.
+            if code not in (None, 0, -9):
+                self.deaths[(gateway.name, gateway.life)] = code
             gateway.misses = 0 if await self.answers(gateway) else gateway.misses + 1
             if gateway.misses != 1:
                 gateway.is_ready = gateway.misses == 0
--- a/src/wire/inbound_connection.cpp
+++ b/src/wire/inbound_connection.cpp
@@ -70,7 +70,11 @@
         this->end();
 }
 
-void inbound_connection::take(const received_frame& frame) {
+void inbound_connection::take(const received_frame& received) {
+    // FlatBuffers read numbers in place, which have to be aligned; within the frame they are not.
+    const bytes aligned(received.payload.begin(), received.payload.end());
+    auto frame = received;
+    frame.payload = aligned;
     this->context.clock.observe(frame.time);
     const auto kind = static_cast<std::size_t>(frame.kind);
     const auto known = kind < frame_kind_count && payload_is_valid(frame.kind, frame.payload);
--- a/src/wire/inbound_connection.hpp
+++ b/src/wire/inbound_connection.hpp
@@ -26,7 +26,7 @@
     static void on_read(h2o_socket_t* socket, const char* error);
     static void on_written(h2o_socket_t* socket, const char* error);
     void read_available();
-    void take(const received_frame& frame);
+    void take(const received_frame& received);
     void take_hello(const received_frame& frame);
     void end();
 
--- a/tests/wire/test_tcp_transport.cpp
+++ b/tests/wire/test_tcp_transport.cpp
@@ -153,3 +153,19 @@
     CHECK(setup.run_until([&] { return b->counters().fault(wire::frame_fault::oversized) == 1; }));
     ::close(raw);
 }
+
+TEST_CASE("payloads of any length before them are aligned for numbers that are read in place") {
+    bench_loop setup;
+    auto a = setup.make(fleet_key);
+    auto b = setup.make(fleet_key);
+    std::size_t received = 0;
+    std::size_t misaligned = 0;
+    b->receive(wire::frame_kind::limits, [&](const helpers::endpoint&, auto payload) {
+        ++received;
+        misaligned += reinterpret_cast<std::uintptr_t>(payload.data()) % alignof(std::uint64_t);
+    });
+    for (std::size_t size = 1; size <= 40; ++size)
+        a->send(b->self(), wire::frame_kind::limits, std::vector<std::uint8_t>(size, 7));
+    CHECK(setup.run_until([&] { return received == 40; }));
+    CHECK(misaligned == 0);
+}
