--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -62,6 +62,8 @@
     void give_up(const kernel::error& reason);
 
 private:
+    static constexpr int first_server_error = 500;
+
     bool on_connected() override;
     void on_head(int status, const http::header_list& headers) override;
     void on_body(std::span<const char> data) override;
--- a/src/helpers/time.hpp
+++ b/src/helpers/time.hpp
@@ -19,6 +19,12 @@
 
 using time_point = monotonic_scale::time_point;
 
+// What is left of a negative time is nothing.
+inline std::uint64_t whole_milliseconds(duration time) {
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    return count < 0 ? 0 : static_cast<std::uint64_t>(count);
+}
+
 // Milliseconds since the Unix epoch. Only for people and logs, never for decisions.
 using wall_milliseconds = std::int64_t;
 
--- a/tests/exchange/test_exchange_node.cpp
+++ b/tests/exchange/test_exchange_node.cpp
@@ -131,6 +131,7 @@
 struct fleet {
     explicit fleet(int count, int data_centres = 1) {
         std::vector<exchange::member> list;
+        list.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
             list.push_back({"g" + std::to_string(i),
                             "dc" + std::to_string(i % data_centres),
--- a/tests/exchange/test_exchange_parts.cpp
+++ b/tests/exchange/test_exchange_parts.cpp
@@ -15,6 +15,7 @@
 
 std::vector<exchange::member> make_members(int count) {
     std::vector<exchange::member> list;
+    list.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         list.push_back({"g" + std::to_string(i), "dc" + std::to_string(i % 3), {}, 5});
     return list;
--- a/tests/gateway/test_load_patterns.cpp
+++ b/tests/gateway/test_load_patterns.cpp
@@ -29,6 +29,7 @@
         : table(make_table(cold_per_second)) {
         this->loop.advance(1s);
         std::vector<std::string> names;
+        names.reserve(static_cast<std::size_t>(gateways));
         for (int i = 0; i < gateways; ++i)
             names.push_back("g" + std::to_string(i));
         for (int i = 0; i < targets; ++i)
