--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -93,7 +93,7 @@
         return EXIT_FAILURE;
     }
     http::h2o_client store_client(loop, {});
-    platform::object_store store(store_client, settings.store);
+    platform::object_store store(store_client, settings.store, discovery::call_limits{});
     const platform::object_documents reader;
     auto keys = wire::parse_fleet_keys(std::array{settings.fleet_key});
     if (!keys) {
--- a/src/discovery/feed.hpp
+++ b/src/discovery/feed.hpp
@@ -53,6 +53,15 @@
     virtual ~feed_call() = default;
 };
 
+// How long the calls of a source may take.
+struct call_limits {
+    helpers::duration connect = std::chrono::milliseconds(700);
+    // Calls that do not wait are answered in milliseconds; a slow source takes some hundred.
+    helpers::duration answer = std::chrono::milliseconds(1500);
+    // Of a watch beyond its wait: the way there and back and a slow source.
+    helpers::duration watch_slack = std::chrono::milliseconds(700);
+};
+
 class feed_source {
 public:
     virtual ~feed_source() = default;
