Share the results of requests between gateways; leave targets that fail the fleet

Change: reports and answers of the exchange carry, for each target, what became of the requests of the last three seconds, of the fleet and of the asker's data centre (targets may fail some callers only). A target whose failures are too many for chance against the median target of its service gets nothing for 3.5 s, then longer; at most a third of the targets. Suspected targets still hand out parts of prompts. One sliding window serves results and the budget of repeats. Tests: grey targets, grey for one data centre, errors of the service itself, after the trouble (load patterns; the first and last fail without the judgement: 72 failures for at most 36); sums, codec, window.

--- /dev/null
+++ b/src/admission/fleet_outliers.cpp
@@ -0,0 +1,71 @@
+// Compares each target's failures with the median target by a bound on the chance of so many.
+#include "admission/fleet_outliers.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace samphirespool::admission {
+
+namespace {
+
+// Exponent of the chance that a target with the usual share of failures shows as many: one in a
+// thousand. Targets are judged some ten times a second, but over the same few seconds of results.
+constexpr double least_surprise = 7;
+// Failures that any target may have: connections that end, answers that are lost.
+constexpr double least_usual_share = 0.01;
+// Answers without a failure from which the own data centre's callers are taken to be well served.
+constexpr std::uint32_t clean_answers = 3;
+constexpr std::size_t outlier_fraction = 3;
+
+using counts_of = result_counts target_evidence::*;
+
+// Chernoff's bound on the chance of so many failures, as the negative exponent.
+double surprise(const result_counts& counts, double usual) {
+    const auto share = counts.failure_share();
+    if (share <= usual)
+        return 0;
+    const auto failed = share * std::log(share / usual);
+    const auto rest = share < 1 ? (1 - share) * std::log((1 - share) / (1 - usual)) : 0.0;
+    return counts.total() * (failed + rest);
+}
+
+double usual_share(std::span<const target_evidence> among, counts_of which) {
+    std::vector<double> shares;
+    shares.reserve(among.size());
+    for (const auto& each : among)
+        shares.push_back((each.*which).failure_share());
+    const auto middle = shares.begin() + static_cast<std::ptrdiff_t>((shares.size() - 1) / 2);
+    std::nth_element(shares.begin(), middle, shares.end());
+    return std::max(least_usual_share, *middle);
+}
+
+bool is_clean(const result_counts& counts) {
+    return counts.failures == 0 && counts.answers >= clean_answers;
+}
+
+} // namespace
+
+std::vector<std::size_t> find_outliers(std::span<const target_evidence> among) {
+    const auto most = among.size() / outlier_fraction;
+    if (most == 0)
+        return {};
+    const auto usual_near = usual_share(among, &target_evidence::near);
+    const auto usual_all = usual_share(among, &target_evidence::all);
+    std::vector<std::pair<double, std::size_t>> found;
+    for (std::size_t i = 0; i < among.size(); ++i) {
+        const auto& each = among[i];
+        const auto by_all = is_clean(each.near) ? 0 : surprise(each.all, usual_all);
+        const auto score = std::max(surprise(each.near, usual_near), by_all);
+        if (score >= least_surprise)
+            found.emplace_back(score, i);
+    }
+    std::sort(found.rbegin(), found.rend());
+    found.resize(std::min(found.size(), most));
+    std::vector<std::size_t> result;
+    result.reserve(found.size());
+    for (const auto& [score, index] : found)
+        result.push_back(index);
+    return result;
+}
+
+} // namespace samphirespool::admission
--- a/src/admission/fleet_share.cpp
+++ b/src/admission/fleet_share.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace samphirespool::admission {
 
@@ -18,36 +17,23 @@
 
 } // namespace
 
-repeat_budget::usage& repeat_budget::advance(helpers::service_id service, helpers::time_point now) {
-    auto& used = this->services[service];
-    const auto slice = this->limits.window / static_cast<std::int64_t>(slices);
-    const auto current = now.time_since_epoch() / slice;
-    const auto count = static_cast<std::int64_t>(used.requests.size());
-    for (auto passed = std::max(used.newest + 1, current - count + 1); passed <= current;
-         ++passed) {
-        const auto index = static_cast<std::size_t>(passed % count);
-        used.requests.at(index) = 0;
-        used.repeats.at(index) = 0;
-    }
-    used.newest = std::max(used.newest, current);
-    return used;
+repeat_budget::recent_usage& repeat_budget::usage_of(helpers::service_id service) {
+    return this->services.try_emplace(service, this->limits.window).first->second;
 }
 
 void repeat_budget::note_request(helpers::service_id service, helpers::time_point now) {
-    auto& used = this->advance(service, now);
-    ++used.requests.at(static_cast<std::size_t>(used.newest) % used.requests.size());
+    ++this->usage_of(service).at(now).requests;
 }
 
 bool repeat_budget::take(helpers::service_id service, helpers::time_point now) {
-    auto& used = this->advance(service, now);
-    const auto requests = std::accumulate(used.requests.begin(), used.requests.end(), 0U);
-    const auto repeats = std::accumulate(used.repeats.begin(), used.repeats.end(), 0U);
+    auto& recent = this->usage_of(service);
+    const auto used = recent.sum(now);
     const auto burst = this->limits.burst * handed_out /
                        static_cast<double>(std::max<std::size_t>(1, this->members));
-    const auto allowed = this->limits.ratio * handed_out * requests + burst;
-    if (repeats + 1 > allowed)
+    const auto allowed = this->limits.ratio * handed_out * used.requests + burst;
+    if (used.repeats + 1 > allowed)
         return false;
-    ++used.repeats.at(static_cast<std::size_t>(used.newest) % used.repeats.size());
+    ++recent.at(now).repeats;
     return true;
 }
 
--- a/src/admission/fleet_share.hpp
+++ b/src/admission/fleet_share.hpp
@@ -3,10 +3,10 @@
 // gateways' lists of each other differ by a few.
 #pragma once
 
+#include "admission/sliding_counts.hpp"
 #include "helpers/ids.hpp"
 #include "helpers/time.hpp"
 
-#include <array>
 #include <cstdint>
 #include <deque>
 #include <string>
@@ -35,20 +35,23 @@
     bool take(helpers::service_id service, helpers::time_point now);
 
 private:
-    static constexpr std::size_t slices = 10;
-
     struct usage {
-        // A slice more than the window, as the oldest one has only partly passed.
-        std::array<std::uint32_t, slices + 1> requests{};
-        std::array<std::uint32_t, slices + 1> repeats{};
-        std::int64_t newest = 0;
+        std::uint32_t requests = 0;
+        std::uint32_t repeats = 0;
+
+        usage& operator+=(const usage& other) {
+            this->requests += other.requests;
+            this->repeats += other.repeats;
+            return *this;
+        }
     };
+    using recent_usage = sliding_counts<usage, 10>;
 
-    usage& advance(helpers::service_id service, helpers::time_point now);
+    recent_usage& usage_of(helpers::service_id service);
 
     repeat_limits limits;
     std::size_t members = 1;
-    std::unordered_map<helpers::service_id, usage> services;
+    std::unordered_map<helpers::service_id, recent_usage> services;
 };
 
 struct cold_limits {
--- a/src/admission/target_load.cpp
+++ b/src/admission/target_load.cpp
@@ -13,6 +13,12 @@
 constexpr helpers::duration first_ejection = std::chrono::milliseconds(700);
 constexpr helpers::duration longest_ejection = std::chrono::seconds(5);
 constexpr std::uint32_t most_doublings = 4;
+// Results from before a suspicion, and those on their way, are forgotten when it ends.
+constexpr helpers::duration first_suspicion =
+    target_load::result_window + std::chrono::milliseconds(500);
+constexpr helpers::duration longest_suspicion = std::chrono::seconds(14);
+// A target that did well for this long starts afresh.
+constexpr helpers::duration suspicion_memory = std::chrono::seconds(20);
 
 } // namespace
 
@@ -78,4 +84,19 @@
     return this->is_on_trial() && this->running > 0;
 }
 
+void target_load::note_result(bool failed, helpers::time_point now) {
+    auto& counts = this->results.at(now);
+    ++(failed ? counts.failures : counts.answers);
+}
+
+bool target_load::suspect(helpers::time_point now) {
+    if (this->is_suspected(now))
+        return false;
+    if (now - this->suspected_until > suspicion_memory)
+        this->suspicions = 0;
+    const auto doublings = std::min(this->suspicions++, most_doublings);
+    this->suspected_until = now + std::min(first_suspicion * (1U << doublings), longest_suspicion);
+    return true;
+}
+
 } // namespace samphirespool::admission
--- a/src/admission/target_load.hpp
+++ b/src/admission/target_load.hpp
@@ -2,6 +2,8 @@
 // those of others from the target's reports, which age.
 #pragma once
 
+#include "admission/fleet_outliers.hpp"
+#include "admission/sliding_counts.hpp"
 #include "helpers/time.hpp"
 
 #include <cstdint>
@@ -45,6 +47,19 @@
 
     std::uint32_t failures_in_a_row() const { return this->failures; }
 
+    // What became of this process's requests here lately; the fleet judges by the sums of all.
+    void note_result(bool failed, helpers::time_point now);
+    result_counts recent_results(helpers::time_point now) const { return this->results.sum(now); }
+
+    // The fleet's results show that it fails: it gets nothing until they are forgotten, and longer
+    // each time. Returns false if that is so already.
+    bool suspect(helpers::time_point now);
+    bool is_suspected(helpers::time_point now) const { return now < this->suspected_until; }
+    helpers::time_point suspicion_end() const { return this->suspected_until; }
+
+    // Long enough for some requests of each target in a large fleet.
+    static constexpr helpers::duration result_window = std::chrono::seconds(3);
+
     const std::deque<helpers::time_point>& recent_sends() const { return this->sends; }
 
 private:
@@ -61,6 +76,9 @@
     helpers::time_point exchanged_until{};
     std::uint32_t failures = 0;
     helpers::time_point ejected_until{};
+    sliding_counts<result_counts, 6> results{result_window};
+    std::uint32_t suspicions = 0;
+    helpers::time_point suspected_until{};
     std::deque<helpers::time_point> sends;
 };
 
--- a/src/discovery/target_catalog.cpp
+++ b/src/discovery/target_catalog.cpp
@@ -11,6 +11,11 @@
 // Of targets that were there before this process.
 constexpr helpers::duration assumed_age = std::chrono::hours(1);
 
+std::uint32_t life_hash_of(const target& facts) {
+    return static_cast<std::uint32_t>(
+        helpers::hash_name(facts.name + "@" + std::to_string(facts.started_at)));
+}
+
 } // namespace
 
 void target_catalog::replace(std::vector<target> all, helpers::time_point now) {
@@ -64,6 +69,7 @@
         known->cold_until = now + facts.cold_for + this->timing.cold_margin;
     known->facts = std::move(facts);
     known->name_hash = helpers::hash_name(known->facts.name);
+    known->life_hash = life_hash_of(known->facts);
     this->by_service[known->facts.service].list.push_back(known);
     this->count_missing(known->facts.service);
     this->log("target.added", *known, known->facts.is_draining ? "draining" : "ready");
--- a/src/discovery/target_catalog.hpp
+++ b/src/discovery/target_catalog.hpp
@@ -20,6 +20,9 @@
     std::uint64_t serial = 0;
     target facts;
     std::uint64_t name_hash = 0;
+    // Names this life of the target in messages between gateways. Two that meet by chance only
+    // blur each other's counts.
+    std::uint32_t life_hash = 0;
     // Until then it bears only its service's cold rate.
     helpers::time_point cold_until{};
     // Long ago for targets of the first list, whose real age is unknown.
--- a/src/exchange/exchange_node.cpp
+++ b/src/exchange/exchange_node.cpp
@@ -35,9 +35,13 @@
     this->members = std::move(list);
     this->groups = group_members(this->members);
     this->own_group.clear();
-    for (const auto& each : this->members)
-        if (each.name == this->self && !this->groups.contains(this->own_group))
+    for (const auto& each : this->members) {
+        if (each.name != this->self)
+            continue;
+        this->own_data_centre = each.data_centre;
+        if (!this->groups.contains(this->own_group))
             this->own_group = each.data_centre;
+    }
 }
 
 helpers::duration exchange_node::interval() const {
@@ -95,8 +99,8 @@
     if (!this->counts)
         return;
     const auto own = this->counts();
-    this->board.report(this->self, own, now);
-    this->tell_others(this->sums(now), own);
+    this->board.report(this->self, this->own_data_centre, own, now);
+    this->tell_others(this->sums_for(this->own_data_centre, now), own);
     if (this->is_hub())
         this->ask_other_hubs();
 }
@@ -144,25 +148,27 @@
     const auto now = this->loop.time().now();
     const auto* sender = this->find(from);
     const auto name = sender != nullptr ? sender->name : helpers::to_string(from);
+    const auto data_centre = sender != nullptr ? sender->data_centre : std::string();
     if (message.for_group) {
         const auto group = sender != nullptr ? sender->data_centre : name;
         if (group != this->own_group)
             this->board.report_group(group, std::move(message.loads), now);
         message.loads.clear();
     } else {
-        this->board.report(name, std::move(message.loads), now);
+        this->board.report(name, data_centre, std::move(message.loads), now);
     }
-    this->link.send(from, this->answer_to(message, now));
+    this->link.send(from, this->answer_to(message, data_centre, now));
 }
 
-answer exchange_node::answer_to(const report& message, helpers::time_point now) {
+answer exchange_node::answer_to(const report& message, const std::string& data_centre,
+                                helpers::time_point now) {
     answer result;
     result.round = message.round;
     if (message.for_group) {
         result.loads = this->board.group_total(now);
         return result;
     }
-    const auto& totals = this->sums(now);
+    const auto& totals = this->sums_for(data_centre, now);
     result.loads = totals.listed;
     result.unlisted_at_most = totals.rest_at_most;
     for (std::size_t i = 0; i < feed_count; ++i) {
@@ -241,19 +247,19 @@
         feed->ask_directly(wait);
 }
 
-const largest_counts& exchange_node::sums(helpers::time_point now) {
-    if (now - this->summed_at >= this->timing.sum_interval) {
-        this->newest_sums = largest_of(this->board.total(now), this->timing.most_listed);
-        this->summed_at = now;
-    }
-    return this->newest_sums;
+const largest_counts& exchange_node::sums_for(const std::string& data_centre,
+                                              helpers::time_point now) {
+    auto& kept = this->newest_sums[data_centre];
+    if (now - kept.at >= this->timing.sum_interval)
+        kept = {largest_of(this->board.total_for(data_centre, now), this->timing.most_listed), now};
+    return kept.values;
 }
 
 void exchange_node::tell_others(const largest_counts& totals, const target_counts& own) {
     this->known_targets = totals.listed.size();
     if (!this->others)
         return;
-    std::unordered_map<std::uint64_t, std::uint32_t> mine;
+    std::unordered_map<std::uint32_t, std::uint32_t> mine;
     for (const auto& each : own)
         mine[each.target] = each.requests;
     auto rest = totals.listed;
--- a/src/exchange/exchange_node.hpp
+++ b/src/exchange/exchange_node.hpp
@@ -24,7 +24,7 @@
     // Answers that list more targets come more rarely: 16 KB/s at 16 bytes each, of 22 that a node
     // may use at the size to design for.
     helpers::duration interval_per_target = std::chrono::milliseconds(1);
-    // The busiest targets; the others are far from any bound.
+    // The busiest targets, and those that fail; the others are far from any bound.
     std::size_t most_listed = 150;
     // Sums are added up again no sooner.
     helpers::duration sum_interval = std::chrono::milliseconds(40);
@@ -51,8 +51,8 @@
 
     // This gateway's own counts; asked before each report.
     void set_counts(std::function<target_counts()> source) { this->counts = std::move(source); }
-    // Gets the fleet's sums without what this gateway itself had reported, what targets that are
-    // not listed have at most, and when the next sums come.
+    // Gets the fleet's sums, the requests in progress without what this gateway itself had
+    // reported; what targets that are not listed have at most; and when the next sums come.
     using others_task = std::function<void(const target_counts&, std::uint32_t, helpers::duration)>;
     void on_others(others_task task) { this->others = std::move(task); }
 
@@ -76,9 +76,10 @@
     void receive(const helpers::endpoint& from, answer message);
     void take_news(const std::vector<feed_news>& feeds);
     void ask_source_directly(helpers::duration wait);
-    answer answer_to(const report& message, helpers::time_point now);
+    answer answer_to(const report& message, const std::string& data_centre,
+                     helpers::time_point now);
     void tell_others(const largest_counts& totals, const target_counts& own);
-    const largest_counts& sums(helpers::time_point now);
+    const largest_counts& sums_for(const std::string& data_centre, helpers::time_point now);
     report make_report(bool for_group, target_counts loads) const;
     helpers::duration interval() const;
     bool take_news_budget(const std::vector<discovery::feed_object>& changes,
@@ -96,11 +97,16 @@
     others_task others;
     std::array<feed_log, feed_count> logs;
     load_board board;
-    largest_counts newest_sums;
-    helpers::time_point summed_at{};
+    struct kept_sums {
+        largest_counts values;
+        helpers::time_point at{};
+    };
+    // By data centre of those who ask.
+    std::unordered_map<std::string, kept_sums> newest_sums;
     std::vector<member> members;
     std::map<std::string, member_group> groups;
     std::string own_group;
+    std::string own_data_centre;
     std::optional<member> hub;
     std::unordered_map<std::string, helpers::time_point> suspected_until;
     std::uint32_t round = 0;
--- a/src/exchange/load_board.hpp
+++ b/src/exchange/load_board.hpp
@@ -1,4 +1,4 @@
-// Sums of the requests in progress on each target, from the newest report of each gateway.
+// Sums of what gateways have on each target, from the newest report of each.
 #pragma once
 
 #include "exchange/message.hpp"
@@ -11,39 +11,41 @@
 
 struct largest_counts {
     target_counts listed;
-    // Of those left out.
+    // Requests in progress on any of those left out.
     std::uint32_t rest_at_most = 0;
 };
 
-// At most so many of the counts.
+// At most so many of the counts: targets that fail, then those with most requests.
 largest_counts largest_of(target_counts counts, std::size_t most);
 
 class load_board {
 public:
-    void report(const std::string& member, target_counts counts, helpers::time_point now);
+    void report(const std::string& member, const std::string& data_centre, target_counts counts,
+                helpers::time_point now);
     // The sum of another group, from its hub.
     void report_group(const std::string& group, target_counts counts, helpers::time_point now);
 
-    // Of this group, and of all groups. Reports that are too old are left out: their sender's
-    // requests have mostly ended or will be seen in the targets' own reports.
+    // Of this group. Reports that are too old are left out: their sender's requests have mostly
+    // ended or will be seen in the targets' own reports.
     target_counts group_total(helpers::time_point now) const;
-    target_counts total(helpers::time_point now) const;
+    // Of all groups, with what the members of the data centre have seen apart.
+    target_counts total_for(const std::string& data_centre, helpers::time_point now) const;
 
     static constexpr helpers::duration max_age = std::chrono::milliseconds(1500);
 
 private:
     struct entry {
+        std::string data_centre;
         target_counts counts;
         helpers::time_point at{};
     };
 
     using entries = std::unordered_map<std::string, entry>;
-    using sums = std::unordered_map<std::uint64_t, std::uint32_t>;
+    using sums = std::unordered_map<std::uint32_t, target_count>;
 
-    static void add(const entries& from, helpers::time_point now, sums& into);
+    static void add(const entry& from, bool is_near, sums& into);
     static target_counts counts_of(const sums& from);
-    static void put(entries& into, const std::string& name, target_counts counts,
-                    helpers::time_point now);
+    static void put(entries& into, const std::string& name, entry newest);
 
     entries members;
     entries groups;
--- a/src/exchange/message.hpp
+++ b/src/exchange/message.hpp
@@ -1,7 +1,8 @@
-// What gateways tell each other: how many requests each has on each target, and what they have
-// read from the feeds.
+// What gateways tell each other: how many requests each has on each target and what became of its
+// earlier ones there, and what they have read from the feeds.
 #pragma once
 
+#include "admission/fleet_outliers.hpp"
 #include "discovery/feed.hpp"
 #include "helpers/time.hpp"
 
@@ -14,9 +15,14 @@
 constexpr std::size_t feed_count = 4;
 
 struct target_count {
-    // Hash of the target's name.
-    std::uint64_t target = 0;
+    // Of one life of a target; see discovery::known_target.
+    std::uint32_t target = 0;
+    // In progress.
     std::uint32_t requests = 0;
+    // Lately, of all who are counted.
+    admission::result_counts results;
+    // The same of the asker's data centre; only in answers to followers.
+    admission::result_counts near;
 
     friend bool operator==(const target_count&, const target_count&) = default;
 };
@@ -49,9 +55,10 @@
     std::uint32_t round = 0;
     // Left out in answers to other hubs.
     std::vector<feed_news> feeds;
-    // Of the whole fleet, or of the group in answers to other hubs; the largest ones.
+    // Of the whole fleet, or of the group in answers to other hubs; the largest ones and those that
+    // fail.
     target_counts loads;
-    // No target that is left out has more.
+    // No target that is left out has more requests in progress.
     std::uint32_t unlisted_at_most = 0;
 };
 
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -77,7 +77,7 @@
     if (std::find(wanted.tried.begin(), wanted.tried.end(), target.serial) != wanted.tried.end())
         return false;
     auto& load = this->load_of(target);
-    if (load.is_ejected(now))
+    if (load.is_ejected(now) || load.is_suspected(now))
         return false;
     if (now >= target.cold_until)
         return true;
@@ -98,6 +98,7 @@
     view.slots = std::max(default_slots, target.facts.slots);
     view.prompt_backlog = load.prompt_backlog();
     view.same_data_centre = target.facts.data_centre == this->settings.data_centre;
+    // Grey targets still hand out parts.
     view.is_holder =
         now >= target.cold_until && now - target.added_at >= newness && !load.is_on_trial();
     return view;
@@ -232,6 +233,7 @@
 
 void dispatcher::note_failure(const discovery::known_target& target) {
     auto& load = this->load_of(target);
+    load.note_result(true, this->loop.time().now());
     load.failed(this->loop.time().now());
     if (load.is_on_trial())
         this->events.write(
@@ -244,6 +246,7 @@
     if (load.is_on_trial())
         this->events.write(kernel::severity::info, "target.restored", std::nullopt,
                            {{"target", target.facts.name}});
+    load.note_result(false, this->loop.time().now());
     load.succeeded();
 }
 
@@ -254,17 +257,24 @@
         this->note_success(*at.target);
     if (how == result::failed)
         this->note_failure(*at.target);
+    if (how == result::error_answer)
+        this->load_of(*at.target).note_result(true, this->loop.time().now());
     this->forget_old_loads();
     if (!this->queue.empty())
         this->loop.post([this] { this->serve_waiting(); });
 }
 
 exchange::target_counts dispatcher::own_counts() const {
+    const auto now = this->loop.time().now();
     exchange::target_counts result;
-    for (const auto& target : this->catalog.all())
-        if (const auto found = this->loads.find(target->serial);
-            found != this->loads.end() && found->second.own() > 0)
-            result.push_back({target->name_hash, found->second.own()});
+    for (const auto& target : this->catalog.all()) {
+        const auto found = this->loads.find(target->serial);
+        if (found == this->loads.end())
+            continue;
+        const auto results = found->second.recent_results(now);
+        if (found->second.own() > 0 || results.total() > 0)
+            result.push_back({target->life_hash, found->second.own(), results, {}});
+    }
     return result;
 }
 
@@ -273,13 +283,41 @@
     const auto now = this->loop.time().now();
     this->exchange_interval = interval;
     const auto valid_until = now + interval * exchange_intervals;
-    std::unordered_map<std::uint64_t, std::uint32_t> by_name;
-    for (const auto& each : others)
-        by_name[each.target] = each.requests;
+    counts_by_life counts;
+    bool any_failed = false;
+    for (const auto& each : others) {
+        counts[each.target] = each;
+        any_failed = any_failed || each.results.failures > 0;
+    }
     for (const auto& target : this->catalog.all()) {
-        const auto found = by_name.find(target->name_hash);
+        const auto found = counts.find(target->life_hash);
         this->load_of(*target).set_others(
-            found == by_name.end() ? unlisted_at_most / 2 : found->second, valid_until);
+            found == counts.end() ? unlisted_at_most / 2 : found->second.requests, valid_until);
+    }
+    if (any_failed)
+        for (const auto& [service, state] : this->services)
+            this->suspect_outliers(service, counts);
+}
+
+void dispatcher::suspect_outliers(helpers::service_id service, const counts_by_life& counts) {
+    const auto now = this->loop.time().now();
+    const auto targets = this->catalog.targets_of(service);
+    std::vector<admission::target_evidence> evidence(targets.size());
+    for (std::size_t i = 0; i < targets.size(); ++i)
+        if (const auto found = counts.find(targets[i]->life_hash); found != counts.end())
+            evidence[i] = {found->second.near, found->second.results};
+    for (const auto index : admission::find_outliers(evidence)) {
+        auto& load = this->load_of(*targets[index]);
+        if (!load.suspect(now))
+            continue;
+        const auto& seen = evidence[index];
+        this->events.write(kernel::severity::warning, "target.suspected", std::nullopt,
+                           {{"target", targets[index]->facts.name},
+                            {"failures", std::uint64_t{seen.all.failures}},
+                            {"answers", std::uint64_t{seen.all.answers}},
+                            {"near_failures", std::uint64_t{seen.near.failures}},
+                            {"near_answers", std::uint64_t{seen.near.answers}},
+                            {"for_ms", helpers::whole_milliseconds(load.suspicion_end() - now)}});
     }
 }
 
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -34,6 +34,8 @@
 enum class result : std::uint8_t {
     succeeded,
     failed,
+    // The service itself answered so. Says little of the target until others' results are seen.
+    error_answer,
     // Says nothing about the target, for instance as the caller departed.
     neutral,
 };
@@ -85,8 +87,9 @@
     void on_suspicion(const assignment& at);
     void on_ended(assignment& at, result how);
 
-    // This gateway's requests on each target, and those of the others.
+    // This gateway's requests on each target and what became of earlier ones.
     exchange::target_counts own_counts() const;
+    // Requests of the others, and everyone's results.
     void set_others(const exchange::target_counts& others, std::uint32_t unlisted_at_most,
                     helpers::duration interval);
 
@@ -131,6 +134,8 @@
     admission::target_load& load_of(const discovery::known_target& target);
     void note_failure(const discovery::known_target& target);
     void note_success(const discovery::known_target& target);
+    using counts_by_life = std::unordered_map<std::uint32_t, exchange::target_count>;
+    void suspect_outliers(helpers::service_id service, const counts_by_life& counts);
     void tick();
     void forget_old_loads();
 
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -94,6 +94,7 @@
     void begin_answer();
     void pass_events(std::string_view events);
     void complete();
+    static result judge(attempt_end how, const kernel::error& reason);
     void attempt_ended(attempt_end how, const kernel::error& reason);
     void close_attempt(attempt_end how, const kernel::error& reason, result judged);
     // Counts a repeat against the shared budget if it returns true.
--- a/src/wire/exchange_codec.cpp
+++ b/src/wire/exchange_codec.cpp
@@ -4,6 +4,7 @@
 #include "wire/generated/exchange_generated.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace samphirespool::wire {
 
@@ -16,11 +17,19 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, max_age_ms));
 }
 
+// Larger counts than a message holds mean the same to whoever reads them.
+std::uint16_t to_short(std::uint32_t count) {
+    return static_cast<std::uint16_t>(
+        std::min<std::uint32_t>(count, std::numeric_limits<std::uint16_t>::max()));
+}
+
 std::vector<fb::target_count> to_wire(const exchange::target_counts& counts) {
     std::vector<fb::target_count> result;
     result.reserve(counts.size());
     for (const auto& each : counts)
-        result.emplace_back(each.target, each.requests);
+        result.emplace_back(each.target, to_short(each.requests), to_short(each.results.answers),
+                            to_short(each.results.failures), to_short(each.near.answers),
+                            to_short(each.near.failures));
     return result;
 }
 
@@ -32,7 +41,10 @@
         return result;
     result.reserve(counts->size());
     for (const auto* each : *counts)
-        result.push_back({each->target(), each->requests()});
+        result.push_back({each->target(),
+                          each->requests(),
+                          {each->answers(), each->failures()},
+                          {each->near_answers(), each->near_failures()}});
     return result;
 }
 
