Let early requests wait for a starting gateway instead of refusing them

Change: requests that come before configuration, targets and departures are read wait for them, for at most 0.8 s since the start; after that the store is away and they are refused at once. Their deadlines run from their arrival.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -87,7 +87,12 @@
             self_of(settings)),
       node(loop, events, this->link, this->fleet.feeds(), settings.name, timing_of(settings)),
       services{loop,          this->random, events,         this->target_client, this->dispatch,
-               this->catalog, this->names,  this->counters, this->latencies,     this->leaving} {
+               this->catalog, this->names,  this->counters, this->latencies,     this->leaving},
+      early(
+          loop, [this] { return this->fleet.is_complete(); },
+          [this](std::unique_ptr<http::exchange> incoming, helpers::time_point arrived) {
+              this->accept(std::move(incoming), arrived);
+          }) {
     this->watch_metrics();
     this->fleet.on_members([this](const auto& members) { this->node.set_members(members); });
     this->node.set_counts([this] { return this->dispatch.own_counts(); });
@@ -142,7 +147,7 @@
     limits.max_connections = this->settings.max_connections;
     this->callers = http::h2o_server::listen(
         this->loop, this->settings.caller_listen, limits, nullptr,
-        [this](std::unique_ptr<http::exchange> incoming) { this->accept(std::move(incoming)); },
+        [this](std::unique_ptr<http::exchange> incoming) { this->early.take(std::move(incoming)); },
         reason);
     if (this->callers == nullptr)
         return false;
@@ -180,14 +185,15 @@
         {{this->leaving ? kernel::error_kind::shutting_down : kernel::error_kind::not_ready, ""}});
 }
 
-void gateway::accept(std::unique_ptr<http::exchange> incoming) {
+void gateway::accept(std::unique_ptr<http::exchange> incoming, helpers::time_point arrived) {
     if (this->leaving && this->loop.time().now() - this->left_at > last_entry) {
         this->refuse_while_leaving(*incoming);
         return;
     }
     const auto sequence = ++this->last_sequence;
     auto request = std::make_unique<proxied_request>(
-        this->services, std::move(incoming), this->fleet.table(), sequence, [this, sequence] {
+        this->services, std::move(incoming), this->fleet.table(), arrived, sequence,
+        [this, sequence] {
             this->loop.post([this, sequence] { this->requests.erase(sequence); });
         });
     auto& started = *request;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -6,6 +6,7 @@
 #include "debug/metrics.hpp"
 #include "gateway/fleet_state.hpp"
 #include "gateway/proxied_request.hpp"
+#include "gateway/start_queue.hpp"
 #include "http/h2o_client.hpp"
 #include "http/h2o_server.hpp"
 #include "settings/gateway_settings.hpp"
@@ -40,7 +41,7 @@
 
 private:
     bool is_ready() const { return !this->leaving && this->fleet.is_complete(); }
-    void accept(std::unique_ptr<http::exchange> incoming);
+    void accept(std::unique_ptr<http::exchange> incoming, helpers::time_point arrived);
     void refuse_while_leaving(http::exchange& incoming);
     void answer_ready(http::exchange& incoming) const;
     void watch_metrics();
@@ -68,6 +69,7 @@
     std::unique_ptr<http::h2o_server> ready;
     std::unique_ptr<http::h2o_server> metrics_server;
     std::unordered_map<std::uint64_t, std::unique_ptr<proxied_request>> requests;
+    start_queue early;
     std::uint64_t last_sequence = 0;
     helpers::time_point left_at{};
     kernel::task left;
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -49,14 +49,15 @@
 
 proxied_request::proxied_request(request_services& services, std::unique_ptr<http::exchange> caller,
                                  std::shared_ptr<const routing::route_table> table,
-                                 std::uint64_t sequence, std::function<void()> ended)
+                                 helpers::time_point arrived, std::uint64_t sequence,
+                                 std::function<void()> ended)
     : services(services),
       caller(std::move(caller)),
       table(std::move(table)),
       sequence(sequence),
       ended(std::move(ended)),
       facts(read_request_facts(this->caller->request(), services.names)),
-      began(services.loop.time().now()) {}
+      began(arrived) {}
 
 proxied_request::~proxied_request() {
     this->services.loop.cancel(this->deadline_timer);
@@ -77,8 +78,8 @@
     const auto now = this->services.loop.time().now();
     const auto timeout =
         this->route->timeout > helpers::duration::zero() ? this->route->timeout : default_deadline;
-    this->deadline = now + std::min(this->facts.deadline.value_or(timeout), timeout);
-    this->deadline_timer = this->services.loop.schedule(this->deadline - now, [this] {
+    this->deadline = this->began + std::min(this->facts.deadline.value_or(timeout), timeout);
+    this->deadline_timer = this->services.loop.schedule(this->left(), [this] {
         this->deadline_timer = 0;
         this->give_up({error_kind::deadline_exceeded, "no answer within the time limit"});
     });
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -50,8 +50,8 @@
 public:
     // `ended` runs once, and may not destroy the request before it returns.
     proxied_request(request_services& services, std::unique_ptr<http::exchange> caller,
-                    std::shared_ptr<const routing::route_table> table, std::uint64_t sequence,
-                    std::function<void()> ended);
+                    std::shared_ptr<const routing::route_table> table, helpers::time_point arrived,
+                    std::uint64_t sequence, std::function<void()> ended);
     ~proxied_request() override;
     proxied_request(const proxied_request&) = delete;
     proxied_request& operator=(const proxied_request&) = delete;
--- a/tests/gateway/gateway_harness.hpp
+++ b/tests/gateway/gateway_harness.hpp
@@ -143,7 +143,8 @@
         made.request = std::make_unique<gateway::proxied_request>(
             this->services,
             std::make_unique<fake_exchange>("POST", path, "body", made.answer, headers),
-            this->table, this->sequence, [&made] { made.has_ended = true; });
+            this->table, this->loop.time().now(), this->sequence,
+            [&made] { made.has_ended = true; });
         made.request->start();
         this->settle();
         return made;
