Remove entries of gateways that are gone; try silent hubs less and less often

As a first hub such an entry cost its group 0.4 s of own store calls every two seconds. Change: a hub that hears from at least half of its group removes the entry of a member that has not reported for 60 s, one each 10 s; one that lives registers again. A hub that stays silent is passed over for 2, 4, 8 s. The store's stand-in of the soak removes objects. Tests: members that are gone, a dead first hub, cut-off gateways that remove nobody, the calls of the store.

--- a/scripts/gatewaylib/store.py
+++ b/scripts/gatewaylib/store.py
@@ -97,6 +97,11 @@
                 for (k, n), (r, s) in sorted(self.objects.items()) if k == kind
             ]
             return 200, {"items": items, "more": False, "storeRevision": self.revision}
+        if method == "DELETE":
+            if (kind, rest[0]) not in self.objects:
+                return 404, {}
+            await self.change(kind, rest[0], None)
+            return 200, {}
         given = json.loads(body)
         name = rest[0] if rest else given["metadata"]["name"]
         exists = (kind, name) in self.objects
--- a/src/discovery/feed.hpp
+++ b/src/discovery/feed.hpp
@@ -80,6 +80,8 @@
                                               std::string_view content, feed_task done) = 0;
     virtual std::unique_ptr<feed_call> replace(collection which, std::string_view name,
                                                std::string_view content, feed_task done) = 0;
+    virtual std::unique_ptr<feed_call> remove(collection which, std::string_view name,
+                                              feed_task done) = 0;
 };
 
 // Takes what a feed brings, in order.
--- a/src/exchange/exchange_node.cpp
+++ b/src/exchange/exchange_node.cpp
@@ -9,7 +9,13 @@
 exchange_node::exchange_node(kernel::loop& loop, kernel::event_sink& events, exchange_link& link,
                              const feed_list& feeds, std::string self,
                              const exchange_timing& timing)
-    : loop(loop), events(events), link(link), feeds(feeds), self(std::move(self)), timing(timing) {
+    : loop(loop),
+      events(events),
+      link(link),
+      feeds(feeds),
+      self(std::move(self)),
+      timing(timing),
+      absences(timing.absence) {
     link.on_report(
         [this](const auto& from, report message) { this->receive(from, std::move(message)); });
     link.on_answer(
@@ -42,6 +48,8 @@
         if (!this->groups.contains(this->own_group))
             this->own_group = each.data_centre;
     }
+    if (const auto group = this->groups.find(this->own_group); group != this->groups.end())
+        this->absences.set_members(group->second, this->loop.time().now());
 }
 
 helpers::duration exchange_node::interval() const {
@@ -53,25 +61,33 @@
 void exchange_node::tick() {
     this->timer = this->loop.schedule(this->interval(), [this] { this->tick(); });
     this->choose_hub();
+    this->absences.set_hub(this->is_hub(), this->loop.time().now());
     if (!this->hub || this->is_hub())
         this->work_as_hub();
     else
         this->report_to_hub();
 }
 
+void exchange_node::suspect(const std::string& name, helpers::time_point now) {
+    auto& given = this->suspicions[name];
+    given.length =
+        std::clamp(given.length * 2, this->timing.suspicion, this->timing.longest_suspicion);
+    given.until = now + given.length;
+    this->events.write(
+        kernel::severity::warning, "hub.silent", std::nullopt,
+        {{"hub", name}, {"passed_over_ms", helpers::whole_milliseconds(given.length)}});
+}
+
 bool exchange_node::is_suspected(const std::string& name) const {
-    const auto found = this->suspected_until.find(name);
-    return found != this->suspected_until.end() && this->loop.time().now() < found->second;
+    const auto found = this->suspicions.find(name);
+    return found != this->suspicions.end() && this->loop.time().now() < found->second.until;
 }
 
 void exchange_node::choose_hub() {
     const auto now = this->loop.time().now();
     if (this->hub && !this->is_hub() &&
-        now - this->last_answer > this->interval() + this->timing.answer_timeout) {
-        this->suspected_until[this->hub->name] = now + this->timing.suspicion;
-        this->events.write(kernel::severity::warning, "hub.silent", std::nullopt,
-                           {{"hub", this->hub->name}});
-    }
+        now - this->last_answer > this->interval() + this->timing.answer_timeout)
+        this->suspect(this->hub->name, now);
     const auto group = this->groups.find(this->own_group);
     std::optional<member> chosen;
     if (group != this->groups.end())
@@ -101,8 +117,11 @@
     const auto own = this->counts();
     this->board.report(this->self, this->own_data_centre, own, now);
     this->tell_others(this->sums_for(this->own_data_centre, now), own);
-    if (this->is_hub())
-        this->ask_other_hubs();
+    if (!this->is_hub())
+        return;
+    this->ask_other_hubs();
+    if (const auto gone = this->absences.take_absent(this->self, now); gone && this->absent_task)
+        this->absent_task(*gone);
 }
 
 void exchange_node::ask_other_hubs() {
@@ -155,6 +174,7 @@
             this->board.report_group(group, std::move(message.loads), now);
         message.loads.clear();
     } else {
+        this->absences.heard(name, now);
         this->board.report(name, data_centre, std::move(message.loads), now);
     }
     this->link.send(from, this->answer_to(message, data_centre, now));
@@ -215,6 +235,7 @@
     if (!this->hub || this->hub->name != sender->name || this->is_hub())
         return;
     this->last_answer = now;
+    this->suspicions.erase(sender->name);
     if (message.round == this->round) {
         this->is_waiting = false;
         this->tell_others({message.loads, message.unlisted_at_most}, this->reported);
--- a/src/exchange/exchange_node.hpp
+++ b/src/exchange/exchange_node.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "discovery/feed_watch.hpp"
+#include "exchange/absence_watch.hpp"
 #include "exchange/exchange_link.hpp"
 #include "exchange/feed_log.hpp"
 #include "exchange/hub_order.hpp"
@@ -31,6 +32,9 @@
     // A hub that has not answered for this long, beyond the interval, is passed over.
     helpers::duration answer_timeout = std::chrono::milliseconds(300);
     helpers::duration suspicion = std::chrono::seconds(2);
+    // It doubles while the hub stays silent: each trial costs the group some store calls.
+    helpers::duration longest_suspicion = std::chrono::seconds(8);
+    absence_timing absence;
     // Wait of a hub's own watches: the group hears of a dead link to the source that soon.
     helpers::duration hub_wait = std::chrono::milliseconds(500);
     helpers::duration direct_wait = std::chrono::milliseconds(2000);
@@ -56,6 +60,11 @@
     using others_task = std::function<void(const target_counts&, std::uint32_t, helpers::duration)>;
     void on_others(others_task task) { this->others = std::move(task); }
 
+    // Told, as the hub, of a member that is gone for good.
+    void on_absent(std::function<void(const std::string& name)> task) {
+        this->absent_task = std::move(task);
+    }
+
     void set_members(std::vector<member> members);
     void start();
 
@@ -84,6 +93,7 @@
     helpers::duration interval() const;
     bool take_news_budget(const std::vector<discovery::feed_object>& changes,
                           helpers::time_point now);
+    void suspect(const std::string& name, helpers::time_point now);
     bool is_suspected(const std::string& name) const;
     const member* find(const helpers::endpoint& address) const;
 
@@ -108,7 +118,14 @@
     std::string own_group;
     std::string own_data_centre;
     std::optional<member> hub;
-    std::unordered_map<std::string, helpers::time_point> suspected_until;
+    struct suspicion {
+        helpers::time_point until{};
+        helpers::duration length{};
+    };
+    // Hubs that did not answer; one that answers is taken out.
+    std::unordered_map<std::string, suspicion> suspicions;
+    absence_watch absences;
+    std::function<void(const std::string& name)> absent_task;
     std::uint32_t round = 0;
     // The newest report has no answer yet, and no other is sent before.
     bool is_waiting = false;
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -133,6 +133,20 @@
     });
 }
 
+void fleet_state::remove_member(const std::string& name) {
+    this->sources.events.write(kernel::severity::warning, "member.absent", std::nullopt,
+                               {{"member", name}});
+    this->removal = this->sources.feeds.remove(
+        discovery::collection::members, name, [this, name](const discovery::feed_answer& answer) {
+            const auto* reason = std::get_if<kernel::error>(&answer);
+            // It is asked for again after the pause between removals.
+            this->sources.events.write(kernel::severity::info, "member.removed", std::nullopt,
+                                       {{"member", name},
+                                        {"done", reason == nullptr},
+                                        {"reason", reason == nullptr ? "" : reason->detail}});
+        });
+}
+
 void fleet_state::settle() {
     this->catalog.settle(this->sources.loop.time().now());
     this->settle_timer = this->sources.loop.schedule(settle_interval, [this] { this->settle(); });
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -43,6 +43,9 @@
                 &this->member_feed};
     }
 
+    // Removes the entry of a gateway that is gone. If it lives after all, it registers again.
+    void remove_member(const std::string& name);
+
     // Told of the other gateways, this one included.
     void on_members(std::function<void(const std::vector<exchange::member>&)> task) {
         this->members_task = std::move(task);
@@ -111,6 +114,7 @@
     std::function<void(const std::vector<exchange::member>&)> members_task;
     // The newest one; an answered call is freed by the next.
     std::unique_ptr<discovery::feed_call> registration;
+    std::unique_ptr<discovery::feed_call> removal;
     bool is_registering = false;
     kernel::timer_id registration_timer = 0;
     kernel::timer_id settle_timer = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -95,6 +95,7 @@
           }) {
     this->watch_metrics();
     this->fleet.on_members([this](const auto& members) { this->node.set_members(members); });
+    this->node.on_absent([this](const std::string& name) { this->fleet.remove_member(name); });
     this->node.set_counts([this] { return this->dispatch.own_counts(); });
     this->node.on_others(
         [this](const auto& others, std::uint32_t rest, helpers::duration interval) {
--- a/tests/discovery/fake_feed.hpp
+++ b/tests/discovery/fake_feed.hpp
@@ -53,6 +53,13 @@
         return this->add(std::move(made), std::move(done));
     }
 
+    std::unique_ptr<discovery::feed_call> remove(discovery::collection which, std::string_view name,
+                                                 discovery::feed_task done) override {
+        pending made{"remove", which};
+        made.name = name;
+        return this->add(std::move(made), std::move(done));
+    }
+
     // The newest call that is neither answered nor cancelled; null if there is none.
     pending* open(discovery::collection which) {
         for (auto each = this->calls.rbegin(); each != this->calls.rend(); ++each)
--- a/tests/exchange/test_exchange_node.cpp
+++ b/tests/exchange/test_exchange_node.cpp
@@ -130,14 +130,12 @@
 
 struct fleet {
     explicit fleet(int count, int data_centres = 1) {
-        std::vector<exchange::member> list;
-        list.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
-            list.push_back({"g" + std::to_string(i),
-                            "dc" + std::to_string(i % data_centres),
-                            {"10.0.0." + std::to_string(i + 1), 7000},
-                            // The largest machine is the hub.
-                            i < data_centres ? 100U : 10U});
+            this->list.push_back({"g" + std::to_string(i),
+                                  "dc" + std::to_string(i % data_centres),
+                                  {"10.0.0." + std::to_string(i + 1), 7000},
+                                  // The largest machine is the hub.
+                                  i < data_centres ? 100U : 10U});
         this->loop.advance(10s);
         for (const auto& each : list)
             this->nodes.push_back(std::make_unique<gateway_node>(this->loop, this->network, each));
@@ -167,6 +165,7 @@
 
     kernel::manual_loop loop;
     fake_network network{loop};
+    std::vector<exchange::member> list;
     std::vector<std::unique_ptr<gateway_node>> nodes;
 };
 
@@ -264,3 +263,63 @@
     for (auto& each : all.nodes)
         CHECK(each->kept.contents["main"].size() == 2'000'000);
 }
+
+TEST_CASE("exchange: a hub that stays silent is tried less and less often") {
+    fleet all(5);
+    all.run(2s);
+    all.at(0).link.is_cut = true;
+    int asking = 0;
+    int steps = 0;
+    all.run(12s);
+    for (; steps < 200; ++steps) {
+        all.run(100ms);
+        // One of four is the hub meanwhile.
+        asking += all.asking() > 2 ? 1 : 0;
+    }
+    // A trial takes 0.4 s and comes every 8 s or more.
+    CHECK(asking <= steps / 10);
+    all.at(0).link.is_cut = false;
+    all.run(10s);
+    CHECK(all.at(0).node.is_hub());
+    CHECK(all.at(1).node.is_following());
+}
+
+TEST_CASE("exchange: the hub removes members that are gone, one after the other, and no others") {
+    fleet all(6);
+    std::map<std::string, std::vector<std::string>> removed;
+    for (auto& each : all.nodes)
+        each->node.on_absent([&removed, name = each->self.name](const auto& gone) {
+            removed[name].push_back(gone);
+        });
+    all.run(2s);
+    all.at(4).link.is_cut = true;
+    all.at(5).link.is_cut = true;
+    all.run(50s);
+    CHECK(removed.empty());
+    all.run(15s);
+    CHECK(removed["g0"].size() == 1);
+    // The list without the first one.
+    auto list = all.list;
+    std::erase_if(list, [&](const auto& each) { return each.name == removed["g0"].front(); });
+    for (auto& each : all.nodes)
+        each->node.set_members(list);
+    all.run(15s);
+    REQUIRE(removed["g0"].size() == 2);
+    CHECK(removed["g0"][0] != removed["g0"][1]);
+    CHECK((removed["g0"][1] == "g4" || removed["g0"][1] == "g5"));
+    // Those that are cut off take themselves for hubs, but hear of nobody.
+    CHECK(removed.size() == 1);
+}
+
+TEST_CASE("exchange: a dead first hub is removed by the next one") {
+    fleet all(5);
+    std::vector<std::string> removed;
+    for (std::size_t i = 1; i < 5; ++i)
+        all.at(i).node.on_absent([&](const auto& gone) { removed.push_back(gone); });
+    all.run(2s);
+    all.at(0).link.is_cut = true;
+    all.run(80s);
+    REQUIRE_FALSE(removed.empty());
+    CHECK(
+        std::all_of(removed.begin(), removed.end(), [](const auto& each) { return each == "g0"; }));
+}
