Let the first hub ask the store for the whole fleet

Change: the first of all hubs, by capacity, holds the watches; its answers to the other hubs' reports, which are sent anyway, carry the news. A hub that the first does not answer within 0.4 s, or whose news are older than 1.2 s, asks the store itself as before. Only hubs answer hubs, so that a follower's empty sum never stands for its group's. Tests: one asker for three groups; the first hub cut off, or without its store: news everywhere within 1.7 s.

--- a/src/discovery/feed_watch.hpp
+++ b/src/discovery/feed_watch.hpp
@@ -20,8 +20,10 @@
     // Pauses between calls that fail double from the first to the last.
     helpers::duration first_pause = std::chrono::milliseconds(100);
     helpers::duration last_pause = std::chrono::milliseconds(800);
-    // News from a peer that has not heard from the source for longer are not relied on.
-    helpers::duration max_peer_age = std::chrono::milliseconds(900);
+    // News from a peer that has not heard from the source for longer are not relied on. Half a
+    // second of its watch, and twice the interval and the way of reports; operators allow two
+    // seconds for changes to be in force.
+    helpers::duration max_peer_age = std::chrono::milliseconds(1200);
 };
 
 class feed_watch {
--- a/src/exchange/exchange_node.cpp
+++ b/src/exchange/exchange_node.cpp
@@ -61,6 +61,7 @@
 void exchange_node::tick() {
     this->timer = this->loop.schedule(this->interval(), [this] { this->tick(); });
     this->choose_hub();
+    this->choose_upstream();
     this->absences.set_hub(this->is_hub(), this->loop.time().now());
     if (!this->hub || this->is_hub())
         this->work_as_hub();
@@ -83,35 +84,55 @@
     return found != this->suspicions.end() && this->loop.time().now() < found->second.until;
 }
 
+const member* exchange_node::first_candidate(const member_group& group) const {
+    for (const auto& each : group) {
+        const bool is_self = each.name == this->self;
+        if (is_self ? !this->leaving : !this->is_suspected(each.name))
+            return &each;
+    }
+    return nullptr;
+}
+
 void exchange_node::choose_hub() {
     const auto now = this->loop.time().now();
-    if (this->hub && !this->is_hub() &&
-        now - this->last_answer > this->interval() + this->timing.answer_timeout)
-        this->suspect(this->hub->name, now);
+    if (this->upstream && now - this->last_answer > this->interval() + this->timing.answer_timeout)
+        this->suspect(this->upstream->name, now);
     const auto group = this->groups.find(this->own_group);
-    std::optional<member> chosen;
-    if (group != this->groups.end())
-        for (const auto& each : group->second) {
-            const bool is_self = each.name == this->self;
-            if ((is_self && this->leaving) || (!is_self && this->is_suspected(each.name)))
-                continue;
-            chosen = each;
-            break;
-        }
-    if (chosen == this->hub)
+    const auto* chosen =
+        group == this->groups.end() ? nullptr : this->first_candidate(group->second);
+    this->hub = chosen == nullptr ? std::nullopt : std::optional(*chosen);
+}
+
+std::optional<member> exchange_node::find_upstream() const {
+    if (!this->hub || !this->is_hub())
+        return this->hub;
+    auto first = this->hub;
+    for (const auto& [name, group] : this->groups)
+        if (const auto* each = this->first_candidate(group);
+            each != nullptr && is_hub_before(*each, *first))
+            first = *each;
+    return first->name == this->self ? std::nullopt : first;
+}
+
+void exchange_node::choose_upstream() {
+    auto chosen = this->find_upstream();
+    if (chosen == this->upstream)
         return;
-    this->hub = std::move(chosen);
-    this->last_answer = now;
+    this->upstream = std::move(chosen);
+    this->last_answer = this->loop.time().now();
     this->is_waiting = false;
-    this->ask_source_directly(this->timing.direct_wait);
+    this->ask_source_directly(this->is_hub() ? this->timing.hub_wait : this->timing.direct_wait);
     this->events.write(kernel::severity::info, "hub.chosen", std::nullopt,
                        {{"hub", this->hub ? this->hub->name : std::string()},
+                        {"upstream", this->upstream ? this->upstream->name : std::string()},
                         {"members", std::uint64_t{this->members.size()}}});
 }
 
 void exchange_node::work_as_hub() {
     const auto now = this->loop.time().now();
-    this->ask_source_directly(this->is_hub() ? this->timing.hub_wait : this->timing.direct_wait);
+    if (!this->upstream)
+        this->ask_source_directly(this->is_hub() ? this->timing.hub_wait
+                                                 : this->timing.direct_wait);
     if (!this->counts)
         return;
     const auto own = this->counts();
@@ -129,10 +150,11 @@
     for (const auto& [name, group] : this->groups) {
         if (name == this->own_group)
             continue;
-        // Alternates when the first does not answer; which one counts is told by the answer.
-        const auto index = this->is_suspected(group.front().name) && group.size() > 1 ? 1U : 0U;
-        this->link.send(group[index].address,
-                        this->make_report(true, this->board.group_total(now)));
+        // Another one is its group's hub if the first is gone; only hubs answer.
+        const auto message = this->make_report(true, this->board.group_total(now));
+        this->link.send(group.front().address, message);
+        if (this->is_suspected(group.front().name) && group.size() > 1)
+            this->link.send(group[1].address, message);
     }
 }
 
@@ -162,7 +184,7 @@
 }
 
 void exchange_node::receive(const helpers::endpoint& from, report message) {
-    if (this->leaving)
+    if (this->leaving || (message.for_group && !this->is_hub()))
         return;
     const auto now = this->loop.time().now();
     const auto* sender = this->find(from);
@@ -186,11 +208,14 @@
     result.round = message.round;
     if (message.for_group) {
         result.loads = this->board.group_total(now);
-        return result;
+        // What others have read is no news to other hubs: its age would grow in a circle.
+        if (this->upstream)
+            return result;
+    } else {
+        const auto& totals = this->sums_for(data_centre, now);
+        result.loads = totals.listed;
+        result.unlisted_at_most = totals.rest_at_most;
     }
-    const auto& totals = this->sums_for(data_centre, now);
-    result.loads = totals.listed;
-    result.unlisted_at_most = totals.rest_at_most;
     for (std::size_t i = 0; i < feed_count; ++i) {
         const auto& feed = *this->feeds[i];
         feed_news news;
@@ -227,16 +252,14 @@
     const auto* sender = this->find(from);
     if (sender == nullptr)
         return;
-    if (message.feeds.empty()) {
-        if (this->is_hub() && sender->data_centre != this->own_group)
-            this->board.report_group(sender->data_centre, std::move(message.loads), now);
-        return;
-    }
-    if (!this->hub || this->hub->name != sender->name || this->is_hub())
+    const bool is_of_group = this->groups.size() > 1 && sender->data_centre != this->own_group;
+    if (is_of_group && this->is_hub())
+        this->board.report_group(sender->data_centre, std::move(message.loads), now);
+    if (!this->upstream || this->upstream->name != sender->name || message.feeds.empty())
         return;
     this->last_answer = now;
     this->suspicions.erase(sender->name);
-    if (message.round == this->round) {
+    if (!is_of_group && message.round == this->round) {
         this->is_waiting = false;
         this->tell_others({message.loads, message.unlisted_at_most}, this->reported);
     }
@@ -252,14 +275,14 @@
         page.revision = each.revision;
         const bool is_usable = each.is_complete && feed.take_from_peer(page, each.age);
         if (!is_usable)
-            feed.ask_directly(this->timing.direct_wait);
+            feed.ask_directly(this->is_hub() ? this->timing.hub_wait : this->timing.direct_wait);
         all_followed = all_followed && is_usable;
     }
     if (all_followed == this->following)
         return;
     this->following = all_followed;
     this->events.write(kernel::severity::info, all_followed ? "hub.followed" : "hub.left",
-                       std::nullopt, {{"hub", this->hub->name}});
+                       std::nullopt, {{"hub", this->upstream->name}});
 }
 
 void exchange_node::ask_source_directly(helpers::duration wait) {
--- a/src/exchange/exchange_node.hpp
+++ b/src/exchange/exchange_node.hpp
@@ -1,6 +1,7 @@
-// One gateway's part in the exchange. It reports to the hub of its group, or is the hub. While the
-// hub answers and is itself in touch with the source of the feeds, the gateway takes the feeds'
-// news from it; otherwise it asks the source itself, so that no gateway depends on another.
+// One gateway's part in the exchange. It reports to the hub of its group, or is the hub. The hubs
+// tell each other the sums of their groups, and the first of them asks the source of the feeds for
+// the whole fleet. While those above a gateway answer and are in touch with the source, it takes
+// the feeds' news from them; otherwise it asks the source itself, so that none depends on another.
 #pragma once
 
 #include "discovery/feed_watch.hpp"
@@ -29,13 +30,13 @@
     std::size_t most_listed = 150;
     // Sums are added up again no sooner.
     helpers::duration sum_interval = std::chrono::milliseconds(40);
-    // A hub that has not answered for this long, beyond the interval, is passed over.
+    // An upstream gateway that has not answered for this long, beyond the interval, is passed over.
     helpers::duration answer_timeout = std::chrono::milliseconds(300);
     helpers::duration suspicion = std::chrono::seconds(2);
     // It doubles while the hub stays silent: each trial costs the group some store calls.
     helpers::duration longest_suspicion = std::chrono::seconds(8);
     absence_timing absence;
-    // Wait of a hub's own watches: the group hears of a dead link to the source that soon.
+    // Wait of a hub's own watches: the fleet hears of a dead link to the source that soon.
     helpers::duration hub_wait = std::chrono::milliseconds(500);
     helpers::duration direct_wait = std::chrono::milliseconds(2000);
     // News beyond this are left to the source, so that they do not fill a hub's link.
@@ -72,12 +73,15 @@
     void leave() { this->leaving = true; }
 
     bool is_hub() const { return this->hub && this->hub->name == this->self; }
-    // The news come from the hub.
+    // The news come from another gateway.
     bool is_following() const { return this->following; }
 
 private:
     void tick();
     void choose_hub();
+    void choose_upstream();
+    const member* first_candidate(const member_group& group) const;
+    std::optional<member> find_upstream() const;
     void work_as_hub();
     void report_to_hub();
     void ask_other_hubs();
@@ -118,11 +122,14 @@
     std::string own_group;
     std::string own_data_centre;
     std::optional<member> hub;
+    // From whom the news come: of a follower its hub, of a hub the first of all hubs; nobody if
+    // that is this gateway.
+    std::optional<member> upstream;
     struct suspicion {
         helpers::time_point until{};
         helpers::duration length{};
     };
-    // Hubs that did not answer; one that answers is taken out.
+    // Upstream gateways that did not answer; one that answers is taken out.
     std::unordered_map<std::string, suspicion> suspicions;
     absence_watch absences;
     std::function<void(const std::string& name)> absent_task;
--- a/src/exchange/hub_order.hpp
+++ b/src/exchange/hub_order.hpp
@@ -26,6 +26,9 @@
 // Members of one group, the first candidate for the hub first.
 using member_group = std::vector<member>;
 
+// Whether the first is a hub before the second.
+bool is_hub_before(const member& a, const member& b);
+
 // A small fleet is one group; in a larger one each data centre has its own.
 std::map<std::string, member_group> group_members(std::span<const member> members);
 
--- a/src/exchange/message.hpp
+++ b/src/exchange/message.hpp
@@ -53,7 +53,7 @@
 struct answer {
     // Of the report.
     std::uint32_t round = 0;
-    // Left out in answers to other hubs.
+    // In answers to other hubs only from the first of all hubs.
     std::vector<feed_news> feeds;
     // Of the whole fleet, or of the group in answers to other hubs; the largest ones and those that
     // fail.
--- a/tests/exchange/test_exchange_node.cpp
+++ b/tests/exchange/test_exchange_node.cpp
@@ -204,6 +204,44 @@
         CHECK(each->others_on(77) == 23);
 }
 
+TEST_CASE("exchange: of several groups only the first hub asks the store, and all get its news") {
+    fleet all(24, 3);
+    all.run(3s);
+    for (int i = 0; i < 20; ++i) {
+        all.run(50ms);
+        CHECK(all.asking() <= 1);
+    }
+    for (const auto& each : all.nodes)
+        CHECK((each->node.is_following() || each->node.is_hub()));
+    all.publish(9, "version 9");
+    all.run(1s);
+    for (auto& each : all.nodes)
+        CHECK(each->kept.contents["main"] == "version 9");
+}
+
+TEST_CASE("exchange: the other groups go on without the first hub, or without its store") {
+    for (const bool is_cut : {true, false}) {
+        CAPTURE(is_cut);
+        fleet all(24, 3);
+        all.run(3s);
+        for (auto& each : all.nodes) {
+            const bool is_first = each->node.is_hub() && !each->node.is_following();
+            each->link.is_cut = is_first && is_cut;
+            each->store_is_silent = is_first && !is_cut;
+        }
+        all.publish(9, "version 9");
+        // Well within the two seconds that operators allow.
+        all.run(1700ms);
+        for (auto& each : all.nodes)
+            if (!each->store_is_silent)
+                CHECK(each->kept.contents["main"] == "version 9");
+        // One other takes over for all.
+        all.run(5s);
+        if (is_cut)
+            CHECK(all.asking() <= 2);
+    }
+}
+
 TEST_CASE("exchange: a silent hub is passed over, and the others ask the store meanwhile") {
     fleet all(5);
     all.run(2s);
