Hold an error against a target only if no other target gives it for the same request

Change: an error answer counts when the request ends, and not if a second target gave one too. Test: two errors count for none, one does, also where the request may not be sent again.

--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -270,13 +270,15 @@
         this->note_success(*at.target);
     if (how == result::failed)
         this->note_failure(*at.target);
-    if (how == result::error_answer)
-        this->load_of(*at.target).note_result(true, this->loop.time().now());
     this->forget_old_loads();
     if (!this->queue.empty())
         this->loop.post([this] { this->serve_waiting(); });
 }
 
+void dispatcher::on_error_answer(const discovery::known_target& target) {
+    this->load_of(target).note_result(true, this->loop.time().now());
+}
+
 exchange::target_counts dispatcher::own_counts() const {
     const auto now = this->loop.time().now();
     exchange::target_counts result;
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -34,8 +34,6 @@
 enum class result : std::uint8_t {
     succeeded,
     failed,
-    // The service itself answered so. Says little of the target until others' results are seen.
-    error_answer,
     // Says nothing about the target, for instance as the caller departed.
     neutral,
 };
@@ -88,6 +86,9 @@
     void on_prompt_done(assignment& at);
     void on_suspicion(const assignment& at);
     void on_ended(assignment& at, result how);
+    // The service itself answered a request with an error that is not the request's own. Says
+    // little of the target until everyone's results are seen.
+    void on_error_answer(const discovery::known_target& target);
 
     // This gateway's requests on each target and what became of earlier ones.
     exchange::target_counts own_counts() const;
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -367,15 +367,17 @@
     return this->services.dispatch.repeats().take(this->service, this->services.loop.time().now());
 }
 
-result proxied_request::judge(attempt_end how, const kernel::error& reason) {
-    if (how == attempt_end::error_answer)
-        return result::error_answer;
-    // A full target says so and is sound.
-    return reason.kind == error_kind::queue_full ? result::neutral : result::failed;
+void proxied_request::note_error_answer() {
+    ++this->error_answers;
+    this->erring = this->error_answers == 1 ? this->current->target : nullptr;
 }
 
 void proxied_request::attempt_ended(attempt_end how, const kernel::error& reason) {
-    this->close_attempt(how, reason, judge(how, reason));
+    if (how == attempt_end::error_answer)
+        this->note_error_answer();
+    // A full target says so and is sound; an error answer is judged when the request ends.
+    const bool is_sound = reason.kind == error_kind::queue_full || how == attempt_end::error_answer;
+    this->close_attempt(how, reason, is_sound ? result::neutral : result::failed);
     if (this->may_send_again(how))
         this->send_again();
     else
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -94,7 +94,7 @@
     void begin_answer();
     void pass_events(std::string_view events);
     void complete();
-    static result judge(attempt_end how, const kernel::error& reason);
+    void note_error_answer();
     void attempt_ended(attempt_end how, const kernel::error& reason);
     void close_attempt(attempt_end how, const kernel::error& reason, result judged);
     // Counts a repeat against the shared budget if it returns true.
@@ -126,6 +126,9 @@
     std::string last_target;
     std::unique_ptr<http::client_call> call;
     std::vector<std::uint64_t> tried;
+    // The only one that answered with an error, if another may yet do so: then it is the request.
+    std::shared_ptr<const discovery::known_target> erring;
+    std::uint32_t error_answers = 0;
     // Times the request reached, or may have reached, a target.
     std::uint32_t sends = 0;
     std::uint32_t connects = 0;
--- a/src/gateway/proxied_request_end.cpp
+++ b/src/gateway/proxied_request_end.cpp
@@ -131,6 +131,8 @@
          {"first_part_ms", this->first_part_ms},
          {"total_ms", total}});
     this->release(result::neutral);
+    if (this->erring != nullptr)
+        this->services.dispatch.on_error_answer(*this->erring);
     this->ended();
 }
 
--- a/tests/gateway/test_load_patterns.cpp
+++ b/tests/gateway/test_load_patterns.cpp
@@ -156,7 +156,9 @@
                 if (!fails(*this->gateways[from], made.at.target->facts.name))
                     continue;
                 ++failed[static_cast<std::size_t>(step / steps)];
-                this->gateways[from]->dispatch.on_ended(made.at, gateway::result::error_answer);
+                auto& dispatch = this->gateways[from]->dispatch;
+                dispatch.on_ended(made.at, gateway::result::neutral);
+                dispatch.on_error_answer(*made.at.target);
                 this->running.pop_back();
             }
             this->pass(10ms);
--- a/tests/gateway/test_proxied_request.cpp
+++ b/tests/gateway/test_proxied_request.cpp
@@ -329,3 +329,35 @@
     caller.answer.departed();
     CHECK(harness.dispatch.waiting() == 0);
 }
+
+TEST_CASE(
+    "proxied request: an error that two targets give is the request's own, one alone counts") {
+    const auto failures = [](const gateway_harness& gateway) {
+        std::uint32_t sum = 0;
+        for (const auto& each : gateway.dispatch.own_counts())
+            sum += each.results.failures;
+        return sum;
+    };
+    gateway_harness gateway;
+    gateway.send("/look/x");
+    gateway.last_call().answer(500, "broken");
+    gateway.settle();
+    REQUIRE(gateway.sent() == 2);
+    gateway.last_call().answer(500, "broken");
+    gateway.settle();
+    CHECK(failures(gateway) == 0);
+
+    gateway.send("/look/x");
+    gateway.last_call().answer(500, "broken");
+    gateway.settle();
+    REQUIRE(gateway.sent() == 4);
+    gateway.last_call().answer(200, "fine");
+    gateway.settle();
+    CHECK(failures(gateway) == 1);
+
+    // It cannot be sent to another target.
+    gateway.send("/book/x");
+    gateway.last_call().answer(500, "broken");
+    gateway.settle();
+    CHECK(failures(gateway) == 2);
+}
