Answer what h2o itself refuses with the product's own body

Cause: a body over the limit and a head that h2o cannot parse got plain text, the only answers without the machine-readable body. Change: the filter that marks these refusals as not run puts the error body in their place. Test: the caller limits read the code and the outcome out of the 413.

--- a/src/http/h2o_server.cpp
+++ b/src/http/h2o_server.cpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -34,6 +35,29 @@
     "connection: close\r\n\r\n"
     R"({"error":{"code":"request_timeout","message":"the request did not arrive in time","outcome":"not run","request_id":"","retry_after_ms":0}})";
 
+// Puts the product's own body in place of h2o's plain text.
+struct refusal_stream {
+    h2o_ostream_t super;
+    h2o_iovec_t body;
+};
+
+kernel::error_kind refusal_kind(int status) {
+    constexpr std::array<kernel::error_kind, 4> kinds{
+        kernel::error_kind::payload_too_large, kernel::error_kind::header_too_large,
+        kernel::error_kind::request_timeout, kernel::error_kind::bad_request};
+    const auto found = std::find_if(kinds.begin(), kinds.end(), [status](kernel::error_kind kind) {
+        return kernel::answer_for(kind).http_status == status;
+    });
+    return found == kinds.end() ? kernel::error_kind::bad_request : *found;
+}
+
+void send_refusal(h2o_ostream_t* self, h2o_req_t* request, h2o_iovec_t*, size_t,
+                  h2o_send_state_t state) {
+    auto& body = reinterpret_cast<refusal_stream*>(self)->body;
+    h2o_ostream_send_next(self, request, &body, body.len > 0 ? 1 : 0, state);
+    body.len = 0;
+}
+
 kernel::error system_error(std::string_view what, const helpers::endpoint& at) {
     return {kernel::error_kind::invalid_settings,
             std::string(what) + " " + helpers::to_string(at) + ": " + std::strerror(errno)};
@@ -190,6 +214,15 @@
     const auto outcome = kernel::to_string(kernel::request_outcome::not_run);
     h2o_add_header_by_str(&request->pool, &request->res.headers, outcome_header.data(),
                           outcome_header.size(), 0, nullptr, outcome.data(), outcome.size());
+    const auto text = error_body({{refusal_kind(request->res.status), ""}});
+    h2o_set_header(&request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE,
+                   H2O_STRLIT("application/json"), 1);
+    request->res.content_length = text.size();
+    auto* stream = reinterpret_cast<refusal_stream*>(
+        h2o_add_ostream(request, sizeof(refusal_stream), slot));
+    stream->super.do_send = send_refusal;
+    stream->body = h2o_strdup(&request->pool, text.data(), text.size());
+    slot = &stream->super.next;
     if (owner != nullptr)
         owner->refused.linger(
             h2o_socket_get_fd(request->conn->callbacks->get_socket(request->conn)));
--- a/tests/process/test_caller_limits.py
+++ b/tests/process/test_caller_limits.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Slow and huge callers get a clear answer and cost nobody else."""
 import contextlib
+import json
 import os
 import sys
 
@@ -34,6 +35,8 @@
             connection.sendall(announced)
         answer = read_to_end(connection)
     assert b" 413 " in answer and b"not run" in answer, answer[:300]
+    error = json.loads(answer.partition(b"\r\n\r\n")[2])["error"]
+    assert error["code"] == "payload_too_large" and error["outcome"] == "not run", error
 
 
 def check_huge_header(front):
