Serve what can still be in time first; refuse the hopeless at once; spread returns after an overload

Change: among requests of one priority those that cannot meet their objective any more (half of it spent waiting) go last. A request behind more than its service assigns in its patience is refused at once. Returns after an overload are spread over a third of the caller's time. Tests: load patterns `overload: what can still be in time goes before what is late` (fails before) and `overload: what will find no slot in its time is refused at once`. What binds: slots of engines, three requests for one.

--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -25,6 +25,10 @@
 constexpr std::uint64_t output_token_cost = 10;
 // Part of its wait after which a request takes a target that the fleet suspects: it serves some.
 constexpr int suspected_after_fraction = 4;
+// A queue as short as this may empty at any moment.
+constexpr std::uint32_t short_queue = 4;
+// Since then requests have waited if the rate at which they get targets is that of full targets.
+constexpr helpers::duration standing_queue = std::chrono::milliseconds(500);
 // Requests that may wait at a plain target beyond its slots, as parts of the slots.
 constexpr double plain_overfill = 1.0;
 
@@ -147,7 +151,9 @@
     made.prompt_tokens = wanted.prompt->tokens();
     if (chosen->holder)
         made.holder = this->address_of(wanted.service, *chosen->holder);
-    this->load_of(*made.target).sent(made.prompt_tokens, this->loop.time().now());
+    const auto now = this->loop.time().now();
+    this->load_of(*made.target).sent(made.prompt_tokens, now);
+    ++this->state_of(wanted.service).assigned.at(now);
     wanted.assigned(std::move(made));
     return verdict::assigned;
 }
@@ -184,21 +190,56 @@
     const auto id = ++this->last_ticket;
     const auto start =
         this->turns.start_of(wanted.priority, wanted.organisation, cost_of(*wanted.prompt));
-    this->queue.emplace(queue_key{wanted.priority, start, id}, std::move(wanted));
+    const queue_key place{wanted.priority, false, start, id};
+    if (this->is_hopeless(wanted, place)) {
+        wanted.refused({kernel::error_kind::queue_full, "no target will become free in time"});
+        return 0;
+    }
+    this->queue.emplace(place, std::move(wanted));
     if (this->timer == 0)
         this->timer = this->loop.schedule(queue_interval, [this] { this->tick(); });
     return id;
 }
 
+bool dispatcher::is_hopeless(const dispatch_ticket& wanted, const queue_key& place) {
+    const auto now = this->loop.time().now();
+    std::uint32_t before = 0;
+    auto oldest = now;
+    for (const auto& [key, waiting] : this->queue) {
+        if (waiting.service != wanted.service)
+            continue;
+        oldest = std::min(oldest, waiting.asked_at);
+        before += key < place ? 1 : 0;
+    }
+    if (before <= short_queue || now - oldest < standing_queue)
+        return false;
+    const std::chrono::duration<double> patience = wanted.wait_until - now;
+    const std::chrono::duration<double> window = rate_window;
+    const auto rate = this->state_of(wanted.service).assigned.sum(now) / window.count();
+    return before > rate * patience.count();
+}
+
 void dispatcher::withdraw(ticket_id id) {
     std::erase_if(this->queue, [id](const auto& entry) { return entry.first.id == id; });
 }
 
+void dispatcher::put_late_ones_last(helpers::time_point now) {
+    for (auto next = this->queue.begin(); next != this->queue.end();) {
+        const auto current = next++;
+        if (current->first.is_late || now < current->second.prompt_until)
+            continue;
+        auto node = this->queue.extract(current);
+        node.key().is_late = true;
+        this->queue.insert(std::move(node));
+    }
+}
+
 void dispatcher::serve_waiting() {
     if (this->serving)
         return;
     this->serving = true;
     const auto now = this->loop.time().now();
+    this->put_late_ones_last(now);
     std::unordered_map<helpers::service_id, int> misses;
     for (auto next = this->queue.begin(); next != this->queue.end();) {
         const auto key = next->first;
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "admission/fleet_share.hpp"
+#include "admission/sliding_counts.hpp"
 #include "admission/target_load.hpp"
 #include "admission/turn_order.hpp"
 #include "discovery/target_catalog.hpp"
@@ -43,6 +44,8 @@
     const placement::prompt* prompt = nullptr;
     std::uint32_t priority = 0;
     helpers::organisation_id organisation;
+    // Assigned later than this, the answer will miss its objective.
+    helpers::time_point prompt_until{};
     // No longer of use after this.
     helpers::time_point wait_until{};
     // Set by the dispatcher.
@@ -103,10 +106,14 @@
     std::size_t waiting() const { return this->queue.size(); }
 
 private:
+    static constexpr helpers::duration rate_window = std::chrono::seconds(1);
+
     struct service_state {
         std::unique_ptr<placement::target_choice> choice;
         // Requests of other gateways on a target, as reports have shown lately.
         double usual = 0;
+        // Requests that got a target here.
+        admission::sliding_counts<std::uint32_t, 4> assigned{rate_window};
     };
 
     enum class verdict : std::uint8_t {
@@ -117,6 +124,9 @@
 
     struct queue_key {
         std::uint32_t priority = 0;
+        // It misses its objective in any case: those of the same priority that need not go first,
+        // so that an overload does not make all answers late.
+        bool is_late = false;
         // Virtual start; see admission::turn_order.
         std::uint64_t start = 0;
         ticket_id id = 0;
@@ -143,6 +153,9 @@
     void suspect_outliers(helpers::service_id service, const counts_by_life& counts);
     void tick();
     void forget_old_loads();
+    // Too many go before it for the rate at which requests get targets.
+    bool is_hopeless(const dispatch_ticket& wanted, const queue_key& place);
+    void put_late_ones_last(helpers::time_point now);
 
     kernel::loop& loop;
     kernel::random_source& random;
@@ -154,7 +167,7 @@
     std::shared_ptr<const routing::route_table> table;
     std::unordered_map<helpers::service_id, service_state> services;
     std::unordered_map<std::uint64_t, admission::target_load> loads;
-    // Most urgent first, then in turns of the organisations.
+    // Most urgent first, then what is not late, then in turns of the organisations.
     std::map<queue_key, dispatch_ticket> queue;
     admission::turn_order turns;
     // How far apart the sums of the exchange are.
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -29,6 +29,8 @@
 // this: callers give up silent answers after two seconds.
 constexpr helpers::duration longest_wait = std::chrono::milliseconds(1400);
 constexpr int wait_fraction = 4;
+// The rest of an objective is for the target's work.
+constexpr int waiting_fraction = 2;
 constexpr std::size_t most_held_bytes = std::size_t{4} << 20;
 constexpr std::size_t high_water_bytes = std::size_t{256} << 10;
 constexpr int status_misdirected = 421;
@@ -136,8 +138,11 @@
     wanted.priority = this->priority;
     wanted.organisation = helpers::id_of<helpers::organisation_id>(this->organisation);
     wanted.wait_until = std::min(this->began + patience, this->deadline);
-    if (this->answer_begun)
+    wanted.prompt_until = this->began + this->route->objective / waiting_fraction;
+    if (this->answer_begun) {
         wanted.wait_until = std::min(now + stream_silence / 2, this->deadline);
+        wanted.prompt_until = wanted.wait_until;
+    }
     wanted.tried = this->tried;
     wanted.assigned = [this](assignment made) { this->on_assigned(std::move(made)); };
     wanted.refused = [this](const kernel::error& reason) {
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -103,7 +103,7 @@
     void finish_without_answer(attempt_end how, const kernel::error& reason);
     void release(result how);
     void refuse(const kernel::error& reason, kernel::request_outcome outcome);
-    helpers::duration retry_after() const;
+    helpers::duration retry_after(kernel::error_kind reason) const;
     void later(kernel::task work);
     void end(std::string_view outcome, std::string_view reason);
     std::uint64_t milliseconds_since_start() const;
--- a/src/gateway/proxied_request_end.cpp
+++ b/src/gateway/proxied_request_end.cpp
@@ -17,6 +17,9 @@
 constexpr double retry_fraction = 0.3;
 constexpr helpers::duration shortest_retry = std::chrono::milliseconds(60);
 constexpr helpers::duration longest_retry = std::chrono::milliseconds(1500);
+// An overload lasts for seconds and callers retry once or twice, so they are spread over all of the
+// time after which they may come back.
+constexpr double overload_retry_fraction = 0.33;
 
 } // namespace
 
@@ -53,10 +56,12 @@
                                                     : request_outcome::not_run;
 }
 
-helpers::duration proxied_request::retry_after() const {
+helpers::duration proxied_request::retry_after(error_kind reason) const {
+    const bool is_overload = reason == error_kind::queue_full;
+    const auto fraction = is_overload ? overload_retry_fraction : retry_fraction;
     const auto bound =
-        std::clamp(std::chrono::duration_cast<helpers::duration>(this->left() * retry_fraction),
-                   shortest_retry, longest_retry);
+        std::clamp(std::chrono::duration_cast<helpers::duration>(this->left() * fraction),
+                   shortest_retry, is_overload ? helpers::duration::max() : longest_retry);
     // Spread, so that those who were refused together do not come back together.
     return std::chrono::duration_cast<helpers::duration>(
         bound * (0.5 + this->services.random.fraction() / 2));
@@ -71,7 +76,8 @@
         if (status_of(reason.kind) >= first_server_error && status_of(reason.kind) != unavailable)
             answer.reason.kind = error_kind::no_target;
         if (status_of(answer.reason.kind) == unavailable)
-            answer.retry_after = this->route == nullptr ? shortest_retry : this->retry_after();
+            answer.retry_after =
+                this->route == nullptr ? shortest_retry : this->retry_after(answer.reason.kind);
         ++this->services.counters.refused;
     } else {
         if (status_of(reason.kind) != timed_out)
--- a/src/http/h2o_server.cpp
+++ b/src/http/h2o_server.cpp
@@ -218,8 +218,8 @@
     h2o_set_header(&request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE,
                    H2O_STRLIT("application/json"), 1);
     request->res.content_length = text.size();
-    auto* stream = reinterpret_cast<refusal_stream*>(
-        h2o_add_ostream(request, sizeof(refusal_stream), slot));
+    auto* stream =
+        reinterpret_cast<refusal_stream*>(h2o_add_ostream(request, sizeof(refusal_stream), slot));
     stream->super.do_send = send_refusal;
     stream->body = h2o_strdup(&request->pool, text.data(), text.size());
     slot = &stream->super.next;
--- a/tests/gateway/test_load_patterns.cpp
+++ b/tests/gateway/test_load_patterns.cpp
@@ -61,6 +61,7 @@
         ticket.prompt = &wanted;
         ticket.priority = priority;
         ticket.organisation = helpers::id_of<helpers::organisation_id>(organisation);
+        ticket.prompt_until = this->loop.time().now() + 300ms;
         ticket.wait_until = this->loop.time().now() + 1s;
         ticket.assigned = [=, this](gateway::assignment made) {
             *is_placed = true;
@@ -296,6 +297,38 @@
     CHECK(fleet.order.back() == 0);
 }
 
+TEST_CASE("load pattern, overload: what can still be in time goes before what is late") {
+    small_fleet fleet(1, 1);
+    for (int i = 0; i < 24; ++i)
+        fleet.request(0, i, i < 2 ? 400ms : 5s);
+    CHECK_FALSE(fleet.request(0, 50, 5s, 1, "first"));
+    CHECK_FALSE(fleet.request(0, 51, 5s, 0, "urgent"));
+    fleet.pass(350ms);
+    CHECK_FALSE(fleet.request(0, 52, 5s, 1, "second"));
+    fleet.pass(60ms);
+    REQUIRE(fleet.organisations.size() == 26);
+    // Urgency goes before all else.
+    CHECK(fleet.organisations[24] == "urgent");
+    CHECK(fleet.organisations[25] == "second");
+}
+
+TEST_CASE("load pattern, overload: what will find no slot in its time is refused at once") {
+    small_fleet fleet(1, 1);
+    // 24 slots, each for a second: as many a second get one.
+    for (int i = 0; i < 24; ++i)
+        fleet.request(0, i, std::chrono::milliseconds(600 + 40 * i));
+    for (int i = 0; i < 30; ++i)
+        fleet.request(0, 100 + i, 1s);
+    CHECK(fleet.refused == 0);
+    fleet.pass(590ms);
+    // All that wait go before a less urgent one, and none of them, all late, before one of their
+    // own urgency.
+    fleet.request(0, 200, 1s, 2);
+    CHECK(fleet.refused == 1);
+    fleet.request(0, 201, 1s, 1);
+    CHECK(fleet.refused == 1);
+}
+
 TEST_CASE("load pattern, hot organisation: a surge waits behind itself") {
     small_fleet fleet(1, 1);
     for (int i = 0; i < 24; ++i)
