--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -366,6 +366,7 @@
         auto& load = this->load_of(*targets[index]);
         if (!load.suspect(now))
             continue;
+        ++this->suspicion_count;
         const auto& seen = evidence[index];
         this->events.write(kernel::severity::warning, "target.suspected", std::nullopt,
                            {{"target", targets[index]->facts.name},
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -104,6 +104,8 @@
     // Gives waiting requests another chance; called when targets have changed.
     void serve_waiting();
     std::size_t waiting() const { return this->queue.size(); }
+    // Times that the fleet's results made a target suspected.
+    const std::uint64_t& suspicions() const { return this->suspicion_count; }
 
 private:
     static constexpr helpers::duration rate_window = std::chrono::seconds(1);
@@ -175,6 +177,7 @@
     // Gateways, this one included.
     std::size_t members = 1;
     ticket_id last_ticket = 0;
+    std::uint64_t suspicion_count = 0;
     kernel::timer_id timer = 0;
     bool serving = false;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -119,6 +119,8 @@
     watch("streams_broken_total", "streams cut off", this->counters.broken_streams);
     watch("streams_resumed_total", "continued at another target", this->counters.resumed);
     watch("repeats_total", "sent to a target once more", this->counters.repeats);
+    watch("targets_suspected_total", "left alone as the fleet's requests fail there",
+          this->dispatch.suspicions());
     this->measured.watch_gauge({"requests_waiting", "waiting for a target"},
                                [this] { return static_cast<double>(this->dispatch.waiting()); });
     this->measured.watch_gauge({"requests_in_progress", "not ended"},
