--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -45,7 +45,7 @@
     std::uint32_t priority = 0;
     helpers::organisation_id organisation;
     // Assigned later than this, the answer will miss its objective.
-    helpers::time_point prompt_until{};
+    helpers::time_point in_time_until{};
     // No longer of use after this.
     helpers::time_point wait_until{};
     // Set by the dispatcher.
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -138,10 +138,10 @@
     wanted.priority = this->priority;
     wanted.organisation = helpers::id_of<helpers::organisation_id>(this->organisation);
     wanted.wait_until = std::min(this->began + patience, this->deadline);
-    wanted.prompt_until = this->began + this->route->objective / waiting_fraction;
+    wanted.in_time_until = this->began + this->route->objective / waiting_fraction;
     if (this->answer_begun) {
         wanted.wait_until = std::min(now + stream_silence / 2, this->deadline);
-        wanted.prompt_until = wanted.wait_until;
+        wanted.in_time_until = wanted.wait_until;
     }
     wanted.tried = this->tried;
     wanted.assigned = [this](assignment made) { this->on_assigned(std::move(made)); };
--- a/tests/gateway/test_load_patterns.cpp
+++ b/tests/gateway/test_load_patterns.cpp
@@ -61,7 +61,7 @@
         ticket.prompt = &wanted;
         ticket.priority = priority;
         ticket.organisation = helpers::id_of<helpers::organisation_id>(organisation);
-        ticket.prompt_until = this->loop.time().now() + 300ms;
+        ticket.in_time_until = this->loop.time().now() + 300ms;
         ticket.wait_until = this->loop.time().now() + 1s;
         ticket.assigned = [=, this](gateway::assignment made) {
             *is_placed = true;
