Exchange: ages count from the report, and the clock includes suspensions

Change: a reply's ages count from the report it is for; the monotonic clock is the boot time; content that no one has confirmed has an age above every limit. Unit tests pass; the test on slow links fails without the change (an age that was too low by the transit time).

--- a/src/discovery/feed_watch.hpp
+++ b/src/discovery/feed_watch.hpp
@@ -53,9 +53,11 @@
     bool is_loaded() const { return this->has_listed; }
     // The content was confirmed recently, by the source or through peers.
     bool is_reachable() const { return this->reachable; }
+    // Age of content that was never confirmed; above any limit.
+    static constexpr helpers::duration unknown_age = std::chrono::hours(1);
     // Time since the content was last confirmed by the source, directly or through peers.
     helpers::duration age(helpers::time_point now) const {
-        return this->confirmed_at ? now - *this->confirmed_at : helpers::duration::max();
+        return this->confirmed_at ? now - *this->confirmed_at : unknown_age;
     }
     // Revision up to which the collection was read.
     std::uint64_t position() const { return this->revision; }
--- a/src/exchange/exchange_node.cpp
+++ b/src/exchange/exchange_node.cpp
@@ -237,6 +237,7 @@
 
 void exchange_node::report_to_other_hubs() {
     const auto now = this->loop.time().now();
+    this->start_round();
     for (const auto& [name, group] : this->groups) {
         if (name == this->own_group || !this->must_report_to(name, group))
             continue;
@@ -263,11 +264,24 @@
     if (!this->own_counts || this->is_awaiting_reply)
         return;
     this->is_awaiting_reply = true;
-    ++this->round;
+    this->start_round();
     this->last_reported_counts = this->own_counts();
     this->link.send(this->hub->address, this->make_report(false, this->last_reported_counts));
 }
 
+void exchange_node::start_round() {
+    ++this->round;
+    this->report_times[this->round % this->report_times.size()] = this->loop.time().now();
+}
+
+// An upper bound of the time that a reply and the report before it were on their way. Empty if the
+// report was sent too long ago to be remembered.
+std::optional<helpers::duration> exchange_node::round_trip(std::uint32_t reply_round) const {
+    if (this->round - reply_round >= this->report_times.size())
+        return std::nullopt;
+    return this->loop.time().now() - this->report_times[reply_round % this->report_times.size()];
+}
+
 const member* exchange_node::find_member(const helpers::endpoint& address) const {
     const auto found = std::find_if(this->members.begin(), this->members.end(),
                                     [&](const member& each) { return each.address == address; });
@@ -358,9 +372,12 @@
         return;
     this->last_reply_at = now;
     this->suspicions.erase(sender->name);
-    if (message.feeds.empty())
+    const auto delay = this->round_trip(message.round);
+    if (message.feeds.empty() || !delay)
         return;
     this->last_update_at = now;
+    for (auto& each : message.feeds)
+        each.age += *delay;
     if (!is_from_other_group && message.round == this->round) {
         this->is_awaiting_reply = false;
         this->publish_peer_counts({message.loads, message.max_unlisted_in_flight},
--- a/src/exchange/exchange_node.hpp
+++ b/src/exchange/exchange_node.hpp
@@ -139,6 +139,8 @@
     void suspect(const std::string& name, helpers::time_point now);
     bool is_suspected(const std::string& name) const;
     bool is_outdated(const std::string& name) const;
+    void start_round();
+    std::optional<helpers::duration> round_trip(std::uint32_t reply_round) const;
     const member* find_member(const helpers::endpoint& address) const;
 
     kernel::loop& loop;
@@ -182,6 +184,8 @@
     absence_detector absent_members;
     std::function<void(const std::string& name)> absent_handler;
     std::uint32_t round = 0;
+    // When the latest reports were sent, by round modulo the size.
+    std::array<helpers::time_point, 16> report_times{};
     // The latest report has no reply yet; the next one is sent only after the reply.
     bool is_awaiting_reply = false;
     double update_budget_bytes = 0;
--- a/src/kernel/clock.cpp
+++ b/src/kernel/clock.cpp
@@ -1,11 +1,15 @@
 // The system clock, and the wall time of the manual clock.
 #include "kernel/clock.hpp"
 
+#include <ctime>
+
 namespace samphirespool::kernel {
 
 helpers::time_point system_clock::now() const {
-    const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-    return helpers::time_point(std::chrono::duration_cast<helpers::duration>(since_start));
+    std::timespec value{};
+    clock_gettime(CLOCK_BOOTTIME, &value);
+    return helpers::time_point(std::chrono::seconds(value.tv_sec) +
+                               std::chrono::nanoseconds(value.tv_nsec));
 }
 
 helpers::wall_milliseconds system_clock::wall() const {
--- a/src/kernel/clock.hpp
+++ b/src/kernel/clock.hpp
@@ -9,7 +9,8 @@
 class clock {
 public:
     virtual ~clock() = default;
-    // Monotonic time, for timeouts and decisions.
+    // Monotonic time, for timeouts and decisions. Includes the time in which the machine was
+    // suspended, so that data read before does not pass for recent.
     virtual helpers::time_point now() const = 0;
     // Wall time of the machine; may jump, see wall_milliseconds.
     virtual helpers::wall_milliseconds wall() const = 0;
--- a/tests/discovery/test_feed_watch.cpp
+++ b/tests/discovery/test_feed_watch.cpp
@@ -77,7 +77,7 @@
     CHECK(fixture.open_call()->freshness == discovery::list_freshness::may_lag);
     fixture.complete(page_of(5, {{"a", "1"}}));
     CHECK(fixture.feed.is_loaded());
-    CHECK(fixture.feed.age(fixture.loop.time().now()) == helpers::duration::max());
+    CHECK(fixture.feed.age(fixture.loop.time().now()) == discovery::feed_watch::unknown_age);
     fixture.complete(discovery::history_lost{});
     REQUIRE(fixture.open_call() != nullptr);
     CHECK(fixture.open_call()->method == "list");
--- a/tests/exchange/test_exchange_node.cpp
+++ b/tests/exchange/test_exchange_node.cpp
@@ -41,13 +41,14 @@
 public:
     explicit fake_network(kernel::manual_loop& loop) : loop(loop) {}
     std::map<helpers::endpoint, fake_link*> links;
+    helpers::duration delay = 1ms;
 
     template <class Message>
     void deliver(fake_link& from, const helpers::endpoint& to, const Message& message) {
         const auto found = this->links.find(to);
         if (from.is_disconnected || found == this->links.end() || found->second->is_disconnected)
             return;
-        this->loop.schedule(1ms, [target = found->second, sender = from.self, message] {
+        this->loop.schedule(this->delay, [target = found->second, sender = from.self, message] {
             if constexpr (std::is_same_v<Message, exchange::report>)
                 target->report_handler(sender, message);
             else
@@ -509,3 +510,15 @@
     // Four feeds, at least 0.8 s apart, although it is its own hub: nobody reports to it.
     CHECK(gateways.at(17).source.calls.size() - calls <= 3 * 13 + 1);
 }
+
+TEST_CASE("exchange: slow links: the time that a reply takes counts in the age of its updates") {
+    fleet gateways(6);
+    gateways.network.delay = 120ms;
+    gateways.run_for(3s);
+    gateways.at(0).store_is_silent = true;
+    const auto confirmed_by = gateways.loop.time().now();
+    gateways.run_for(600ms);
+    const auto now = gateways.loop.time().now();
+    for (auto& each : gateways.nodes)
+        CHECK(each->configuration.age(now) >= now - confirmed_by);
+}
