Exchange: probe silent hubs, margins for the ages, no missing target as prefix holder

Ages of a fleet at work reached the limit at which content counts as lost, so removals of targets became uncertain and stopped engines stayed prefix holders; gateways that had been cut off passed their hubs over for up to 8 s after the cut had healed.

Change: the reader waits a sixth of the bound, content from peers counts as lost later; silent hubs are probed once a second and the suspicion ends with their reply; a target whose entry is missing is no prefix holder; gateways that reach no peer query the targets as often as the reader.

--- a/src/discovery/feed_watch.cpp
+++ b/src/discovery/feed_watch.cpp
@@ -261,6 +261,12 @@
     });
 }
 
+helpers::duration feed_watch::max_age() const {
+    const std::array<helpers::duration, 3> limits{
+        this->timing.max_hub_age, this->timing.max_follower_age, this->timing.max_isolated_age};
+    return limits.at(static_cast<std::size_t>(this->role));
+}
+
 helpers::duration feed_watch::time_until_query(helpers::time_point now) const {
     const auto due = this->confirmed_at ? *this->confirmed_at + this->max_age()
                                         : this->listed_at + this->timing.catch_up_delay;
@@ -269,9 +275,10 @@
 
 // A feed that queries the source by itself lets its content reach max_age each time.
 helpers::duration feed_watch::lost_age() const {
-    return this->is_continuous || this->is_confirmed_by_peer
-               ? this->timing.stale_age
-               : this->max_age() + this->timing.stale_age;
+    if (this->is_confirmed_by_peer)
+        return this->timing.max_unconfirmed_age;
+    return this->is_continuous ? this->timing.max_unwatched_age
+                               : this->max_age() + this->timing.max_unwatched_age;
 }
 
 // Runs when the content counts as lost and when the source is to be queried.
@@ -282,7 +289,7 @@
     auto next = this->time_until_query(now);
     if (next == helpers::duration::zero()) {
         this->request_call();
-        next = this->timing.stale_age;
+        next = this->timing.max_unwatched_age;
     }
     if (this->reachable && this->confirmed_at)
         next = std::min(next, this->lost_age() - this->age(now));
--- a/src/discovery/feed_watch.hpp
+++ b/src/discovery/feed_watch.hpp
@@ -21,12 +21,15 @@
     // Delay between a response with changes and the next call, so that changes in quick succession
     // need one call only. Small compared with the seconds within which changes must be in force.
     helpers::duration batch_delay = std::chrono::milliseconds(120);
-    // Content that a continuous watch or a peer has not confirmed for this long counts as lost.
-    helpers::duration stale_age = std::chrono::milliseconds(800);
+    // Content counts as lost if it was not confirmed for this long: by a continuous watch, or by a
+    // peer.
+    helpers::duration max_unwatched_age = std::chrono::milliseconds(800);
+    helpers::duration max_unconfirmed_age = std::chrono::milliseconds(1100);
     // A feed that relies on peers queries the source when its content is older than this, and
-    // rejects older updates: in a hub, and in a follower.
+    // rejects older updates: in a hub, in a follower, and in a gateway that reaches no peer.
     helpers::duration max_hub_age = std::chrono::milliseconds(800);
     helpers::duration max_follower_age = std::chrono::milliseconds(1400);
+    helpers::duration max_isolated_age = std::chrono::milliseconds(800);
     // Time from a list that may lag until the source is queried for what has changed since, if no
     // peer sends it.
     helpers::duration catch_up_delay = std::chrono::milliseconds(1400);
@@ -36,6 +39,7 @@
 enum class peer_role : std::uint8_t {
     hub,
     follower,
+    isolated,
 };
 
 class feed_watch {
@@ -94,10 +98,7 @@
     void call_after(helpers::duration delay);
     void check_age();
     void schedule_age_check(helpers::time_point due);
-    helpers::duration max_age() const {
-        return this->role == peer_role::hub ? this->timing.max_hub_age
-                                            : this->timing.max_follower_age;
-    }
+    helpers::duration max_age() const;
     helpers::duration lost_age() const;
     helpers::duration time_until_query(helpers::time_point now) const;
 
--- a/src/discovery/freshness.hpp
+++ b/src/discovery/freshness.hpp
@@ -8,9 +8,10 @@
 
 struct freshness_limits {
     explicit freshness_limits(helpers::duration change_bound)
-        : reader_wait(change_bound / 4),
+        : reader_wait(change_bound / 6),
           batch_delay(change_bound / 16),
           hub_age(change_bound * 2 / 5),
+          lost_age(change_bound * 11 / 20),
           follower_age(change_bound * 7 / 10),
           settling_time(change_bound / 4) {}
 
@@ -23,6 +24,9 @@
     // A hub whose content is older than this queries the source itself. Leaves time for its
     // followers to receive the change before they exceed follower_age.
     helpers::duration hub_age;
+    // Content from a peer counts as lost after this time. Above the ages that occur while all
+    // gateways work: the reader's wait and delay, and two reports with their replies.
+    helpers::duration lost_age;
     // A follower whose content is older than this queries the source itself. The rest of the bound
     // covers the call and a retry on a new connection.
     helpers::duration follower_age;
--- a/src/exchange/exchange_node.cpp
+++ b/src/exchange/exchange_node.cpp
@@ -66,6 +66,28 @@
         this->run_as_hub();
     else
         this->report_to_hub();
+    this->probe_silent_hubs();
+}
+
+// Reports without content to hubs that were silent; their reply ends the suspicion. So a gateway
+// returns to its hub soon after a partition, without relying on it before.
+void exchange_node::probe_silent_hubs() {
+    const auto now = this->loop.time().now();
+    const auto group = this->groups.find(this->own_group);
+    if (group == this->groups.end() || now < this->next_hub_probe_at)
+        return;
+    this->next_hub_probe_at = now + this->timing.hub_probe_interval;
+    auto message = this->make_report(false, {});
+    message.wants_updates = false;
+    std::size_t probes = 0;
+    for (const auto& each : group->second) {
+        if (probes == max_probed_hubs || (this->hub && each.name == this->hub->name))
+            break;
+        if (each.name == this->self || !this->is_suspected(each.name))
+            continue;
+        this->link.send(each.address, message);
+        ++probes;
+    }
 }
 
 void exchange_node::suspicion::renew(helpers::time_point now, const exchange_timing& timing) {
@@ -167,38 +189,42 @@
 
 void exchange_node::set_source_role() {
     this->gate.set_backoff(this->probe_backoff());
-    auto chosen = source_role::follower;
-    if (this->is_hub()) {
-        // Many gateways may be their own hubs while the fleet is partitioned.
-        const bool is_needed =
-            this->last_report_at &&
-            this->loop.time().now() - *this->last_report_at <= this->timing.reader_time;
-        chosen = is_needed && !this->upstream ? source_role::reader : source_role::hub;
-    }
+    const auto chosen = this->choose_source_role();
     if (chosen == std::exchange(this->role, chosen))
         return;
     this->role_since = this->loop.time().now();
     for (auto* feed : this->feeds) {
         if (chosen == source_role::reader)
             feed->watch_continuously();
+        else if (chosen == source_role::isolated)
+            feed->rely_on_peers(discovery::peer_role::isolated);
         else
             feed->rely_on_peers(chosen == source_role::hub ? discovery::peer_role::hub
                                                            : discovery::peer_role::follower);
     }
 }
 
+exchange_node::source_role exchange_node::choose_source_role() const {
+    if (!this->is_hub())
+        return source_role::follower;
+    if (this->upstream)
+        return source_role::hub;
+    const bool is_needed =
+        this->last_report_at &&
+        this->loop.time().now() - *this->last_report_at <= this->timing.reader_time;
+    return is_needed ? source_role::reader : source_role::isolated;
+}
+
 discovery::backoff_limits exchange_node::probe_backoff() const {
-    if (this->is_hub())
-        return this->timing.hub_backoff;
-    const bool has_replying_hub =
-        this->upstream && this->loop.time().now() - this->last_reply_at <=
-                              this->report_interval() + this->timing.reply_timeout;
+    const bool has_replying_hub = !this->is_hub() && this->upstream &&
+                                  this->loop.time().now() - this->last_reply_at <=
+                                      this->report_interval() + this->timing.reply_timeout;
     if (!has_replying_hub)
-        return this->timing.isolated_backoff;
+        return this->timing.backoff;
     const auto scaled =
         this->timing.follower_backoff_per_member * static_cast<std::int64_t>(this->members.size());
     const auto longest =
-        std::clamp(scaled, this->timing.hub_backoff.max, this->timing.max_follower_backoff);
+        std::clamp(scaled, this->timing.backoff.max, this->timing.max_follower_backoff);
     return {longest / 2, longest};
 }
 
@@ -364,6 +390,7 @@
     const auto* sender = this->find_member(from);
     if (sender == nullptr)
         return;
+    this->suspicions.erase(sender->name);
     const bool is_from_other_group =
         this->groups.size() > 1 && sender->data_centre != this->own_group;
     if (is_from_other_group && this->is_hub())
@@ -371,7 +398,6 @@
     if (!this->upstream || this->upstream->name != sender->name)
         return;
     this->last_reply_at = now;
-    this->suspicions.erase(sender->name);
     const auto delay = this->round_trip(message.round);
     if (message.feeds.empty() || !delay)
         return;
--- a/src/exchange/exchange_node.hpp
+++ b/src/exchange/exchange_node.hpp
@@ -40,17 +40,17 @@
     // suspected and skipped in the hub order.
     helpers::duration reply_timeout = std::chrono::milliseconds(300);
     helpers::duration initial_suspicion = std::chrono::seconds(2);
-    // The suspicion time doubles up to this while the hub stays silent, since each trial costs the
-    // group some store calls.
+    // The suspicion time doubles up to this while the hub stays silent, since the gateway gets no
+    // totals during each trial.
     helpers::duration max_suspicion = std::chrono::seconds(8);
+    // Interval of the probes that end a suspicion early.
+    helpers::duration hub_probe_interval = std::chrono::seconds(1);
     absence_timing absence;
     discovery::freshness_limits freshness{std::chrono::seconds(2)};
-    // Backoff of probes while the source is unreachable: of hubs, which probe for their groups; of
+    // Backoff of probes while the source is unreachable: of hubs, which probe for their groups, and
     // gateways that reach no hub; and of followers whose hub replies without recent content. The
-    // last one grows with the fleet, so that all followers together send a bounded rate.
-    discovery::backoff_limits hub_backoff;
-    discovery::backoff_limits isolated_backoff{std::chrono::milliseconds(200),
-                                               std::chrono::seconds(2)};
+    // latter grows with the fleet, so that all followers together send a bounded rate.
+    discovery::backoff_limits backoff;
     helpers::duration follower_backoff_per_member = std::chrono::milliseconds(20);
     helpers::duration max_follower_backoff = std::chrono::seconds(5);
     // Updates beyond this rate are not sent, so that they do not saturate a hub's link; the
@@ -105,12 +105,17 @@
         undecided,
         // Watches the source continuously.
         reader,
-        // A hub that gets updates from another hub, or to which nobody reports.
+        // A hub that gets updates from another hub.
         hub,
         follower,
+        // A hub to which nobody reports. There may be many while the fleet is partitioned.
+        isolated,
     };
 
+    static constexpr std::size_t max_probed_hubs = 3;
+
     void tick();
+    void probe_silent_hubs();
     void check_upstream();
     void choose_hub();
     void choose_upstream();
@@ -118,6 +123,7 @@
     std::optional<member> find_upstream() const;
     std::optional<member> find_reader() const;
     void set_source_role();
+    source_role choose_source_role() const;
     discovery::backoff_limits probe_backoff() const;
     helpers::duration oldest_feed_age(helpers::time_point now) const;
     void skip_outdated_reader(const std::string& name, helpers::time_point now);
@@ -183,6 +189,7 @@
     std::unordered_map<std::string, suspicion> outdated_readers;
     absence_detector absent_members;
     std::function<void(const std::string& name)> absent_handler;
+    helpers::time_point next_hub_probe_at{};
     std::uint32_t round = 0;
     // When the latest reports were sent, by round modulo the size.
     std::array<helpers::time_point, 16> report_times{};
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -94,9 +94,11 @@
     candidate.slots = std::max(default_slots, target.registration.slots);
     candidate.prompt_backlog = load.prompt_backlog();
     candidate.same_data_centre = target.registration.data_centre == this->settings.data_centre;
-    // Suspected targets can still serve cached prefixes to others.
-    candidate.can_hold_prefix =
-        now >= target.cold_until && now - target.added_at >= min_holder_age && !load.is_on_trial();
+    // Suspected and draining targets can still serve cached prefixes to others. A target whose
+    // entry is missing has probably stopped.
+    const bool is_running = !target.is_missing || this->catalog.is_eligible(target);
+    candidate.can_hold_prefix = is_running && now >= target.cold_until &&
+                                now - target.added_at >= min_holder_age && !load.is_on_trial();
     return candidate;
 }
 
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -25,20 +25,32 @@
     discovery::watch_timing timing;
     timing.wait = limits.reader_wait;
     timing.batch_delay = limits.batch_delay;
-    timing.stale_age = limits.hub_age;
+    timing.max_unwatched_age = limits.hub_age;
+    timing.max_unconfirmed_age = limits.lost_age;
     timing.max_hub_age = limits.hub_age;
     timing.max_follower_age = limits.follower_age;
+    timing.max_isolated_age = limits.hub_age;
     timing.catch_up_delay = limits.follower_age;
     return timing;
 }
 
+// Gateways that differ in the targets they know send the same prefix to different engines, which
+// costs callers more than the calls of the few gateways that reach no peer.
+discovery::watch_timing target_timing(const discovery::freshness_limits& limits) {
+    auto timing = feed_timing(limits);
+    timing.max_isolated_age = limits.reader_wait;
+    return timing;
+}
+
 discovery::watch_timing member_timing(const discovery::freshness_limits& limits) {
     discovery::watch_timing timing;
     timing.wait = member_watch_wait;
     timing.batch_delay = member_batch_delay;
-    timing.stale_age = member_max_age;
+    timing.max_unwatched_age = member_max_age;
+    timing.max_unconfirmed_age = member_max_age;
     timing.max_hub_age = member_max_age;
     timing.max_follower_age = member_max_age;
+    timing.max_isolated_age = member_max_age;
     timing.catch_up_delay = limits.settling_time;
     return timing;
 }
@@ -62,7 +74,7 @@
                          this->configurations, discovery::collection::configuration,
                          feed_timing(limits)),
       target_feed(services.loop, services.events, this->source_gate, services.feeds, this->targets,
-                  discovery::collection::targets, feed_timing(limits)),
+                  discovery::collection::targets, target_timing(limits)),
       drained_feed(services.loop, services.events, this->source_gate, services.feeds,
                    this->drained_data_centres, discovery::collection::departures,
                    feed_timing(limits)),
