Feed watch: old content from a peer does not count as contact with the source

Cause (incident of the deployment further/, 18.9 to 19.4 s): while the hub's content was between the age at which content counts as lost and the one at which a follower queries the store, each reply logged feed.reachable and at once feed.unreachable, ten times a second for three feeds. Change: content confirmed at such an age does not regain the source. The test fails without the change.

--- a/src/discovery/feed_watch.cpp
+++ b/src/discovery/feed_watch.cpp
@@ -245,7 +245,8 @@
     this->confirmed_at = now - age;
     this->is_confirmed_by_peer = is_by_peer;
     this->schedule_age_check(now + std::min(this->time_until_query(now), this->lost_age() - age));
-    if (std::exchange(this->reachable, true))
+    // A peer may confirm content that is out of date here at once.
+    if (age >= this->lost_age() || std::exchange(this->reachable, true))
         return;
     this->events.write(
         kernel::severity::info, "feed.reachable", std::nullopt,
--- a/tests/discovery/test_feed_watch.cpp
+++ b/tests/discovery/test_feed_watch.cpp
@@ -115,6 +115,11 @@
     fixture.loop.advance(100ms);
     CHECK_FALSE(fixture.feed.is_reachable());
     CHECK(fixture.received.losses == 1);
+    // Content that old is accepted, but the source is not regained with it.
+    CHECK(fixture.feed.apply_from_peer(page_of(7), 1200ms));
+    fixture.loop.advance(1ms);
+    CHECK_FALSE(fixture.feed.is_reachable());
+    CHECK(fixture.received.losses == 1);
     CHECK(fixture.feed.apply_from_peer(page_of(7), 10ms));
     CHECK(fixture.feed.is_reachable());
     CHECK(fixture.received.recoveries == 1);
