--- a/tests/exchange/test_exchange_node.cpp
+++ b/tests/exchange/test_exchange_node.cpp
@@ -77,7 +77,8 @@
           gate(loop, random),
           configuration(loop, events, gate, source, received, collection::configuration, {}),
           targets(loop, events, gate, source, ignored, collection::targets, {}),
-          departures(loop, events, gate, source, ignored, collection::departures, {}),
+          departures(loop, events, gate, source, ignored, collection::departures,
+                     departure_timing()),
           members(loop, events, gate, source, ignored, collection::members, member_timing()),
           node(loop, events, link, {&configuration, &targets, &departures, &members}, gate,
                self.name, {}) {
@@ -93,6 +94,13 @@
             this->source.complete(static_cast<collection>(i), page_of(list_revision));
     }
 
+    // Differs from the others in the limit of a gateway that reaches no peer.
+    static discovery::watch_timing departure_timing() {
+        discovery::watch_timing timing;
+        timing.max_isolated_age = 3s;
+        return timing;
+    }
+
     // The member list may be older than the others.
     static discovery::watch_timing member_timing() {
         discovery::watch_timing timing;
@@ -541,3 +549,18 @@
         CHECK(each->peer_requests_on(77) == 23);
     }
 }
+
+TEST_CASE("exchange: a gateway that reaches no peer queries each feed at its limit for that case") {
+    fleet gateways(1);
+    gateways.run_for(5s);
+    const auto queries = [&gateways] {
+        const auto& calls = gateways.at(0).source.calls;
+        return std::count_if(calls.begin(), calls.end(),
+                             [](const auto& each) { return each.kind == collection::departures; });
+    };
+    const auto before = queries();
+    gateways.run_for(10s);
+    // At least three seconds apart.
+    CHECK(queries() - before >= 3);
+    CHECK(queries() - before <= 4);
+}
--- a/tests/gateway/test_load_patterns.cpp
+++ b/tests/gateway/test_load_patterns.cpp
@@ -537,3 +537,30 @@
     if (assigned.prefix_holder)
         CHECK(*assigned.prefix_holder != tests::make_target(failed, "engines").address);
 }
+
+TEST_CASE("load pattern, targets stop while the registry is away: no prefix is fetched from them") {
+    small_fleet fleet(1, 6);
+    auto& gateway = *fleet.gateways[0];
+    std::map<std::uint64_t, std::string> preferred_targets;
+    for (std::uint64_t prefix = 100; prefix < 140; ++prefix) {
+        fleet.request(0, prefix, 5ms);
+        preferred_targets[prefix] = fleet.in_progress.back().assignment.target->registration.name;
+        fleet.advance(10ms);
+    }
+    const auto stopped = preferred_targets.begin()->second;
+    gateway.catalog.on_registry_lost();
+    gateway.catalog.remove(stopped, fleet.loop.time().now());
+    int moved = 0;
+    for (const auto& [prefix, preferred] : preferred_targets) {
+        if (preferred != stopped)
+            continue;
+        REQUIRE(fleet.request(0, prefix, 5ms));
+        const auto& assigned = fleet.in_progress.back().assignment;
+        CHECK(assigned.target->registration.name != stopped);
+        if (assigned.prefix_holder)
+            CHECK(*assigned.prefix_holder != tests::make_target(stopped, "engines").address);
+        ++moved;
+        fleet.advance(10ms);
+    }
+    CHECK(moved > 0);
+}
