Feed ages: clearer names and comments

The two ages at which content counts as lost are named after whom they hold for; comments that were fragments are sentences, members without a comment have one, and the gate of the store no longer has its class's name.

--- a/src/discovery/feed_watch.cpp
+++ b/src/discovery/feed_watch.cpp
@@ -277,9 +277,9 @@
 // A feed that queries the source by itself lets its content reach max_age each time.
 helpers::duration feed_watch::lost_age() const {
     if (this->is_confirmed_by_peer)
-        return this->timing.max_unconfirmed_age;
-    return this->is_continuous ? this->timing.max_unwatched_age
-                               : this->max_age() + this->timing.max_unwatched_age;
+        return this->timing.peer_lost_age;
+    return this->is_continuous ? this->timing.reader_lost_age
+                               : this->max_age() + this->timing.reader_lost_age;
 }
 
 // Runs when the content counts as lost and when the source is to be queried.
@@ -290,7 +290,7 @@
     auto next = this->time_until_query(now);
     if (next == helpers::duration::zero()) {
         this->request_call();
-        next = this->timing.max_unwatched_age;
+        next = this->timing.reader_lost_age;
     }
     if (this->reachable && this->confirmed_at)
         next = std::min(next, this->lost_age() - this->age(now));
--- a/src/discovery/feed_watch.hpp
+++ b/src/discovery/feed_watch.hpp
@@ -21,10 +21,10 @@
     // Delay between a response with changes and the next call, so that changes in quick succession
     // need one call only. Small compared with the seconds within which changes must be in force.
     helpers::duration batch_delay = std::chrono::milliseconds(120);
-    // Content counts as lost if it was not confirmed for this long: by a continuous watch, or by a
-    // peer.
-    helpers::duration max_unwatched_age = std::chrono::milliseconds(800);
-    helpers::duration max_unconfirmed_age = std::chrono::milliseconds(1100);
+    // The content counts as lost if a continuous watch has not confirmed it for reader_lost_age, or
+    // if a peer confirmed it last and it is older than peer_lost_age.
+    helpers::duration reader_lost_age = std::chrono::milliseconds(800);
+    helpers::duration peer_lost_age = std::chrono::milliseconds(1100);
     // A feed that relies on peers queries the source when its content is older than this, and
     // rejects older updates: in a hub, in a follower, and in a gateway that reaches no peer.
     helpers::duration max_hub_age = std::chrono::milliseconds(800);
@@ -35,7 +35,7 @@
     helpers::duration catch_up_delay = std::chrono::milliseconds(1400);
 };
 
-// Which limit applies to the age of a feed that relies on peers.
+// Selects the limit for the age of a feed that relies on peers.
 enum class peer_role : std::uint8_t {
     hub,
     follower,
@@ -77,9 +77,9 @@
     // collection was not listed yet.
     bool apply_from_peer(const feed_page& page, helpers::duration peer_age);
 
-    // Own calls follow each other from now on.
+    // Starts a new call to the source whenever one completes.
     void watch_continuously();
-    // Own calls are made only while the content is older than the role's limit.
+    // Calls the source only while the content is older than the limit of the role.
     void rely_on_peers(peer_role role);
 
 private:
@@ -116,6 +116,7 @@
     std::optional<source_gate::turn_id> turn;
     kernel::timer_id call_timer = 0;
     kernel::timer_id age_timer = 0;
+    // When age_timer expires, if it is set.
     helpers::time_point age_check_due{};
     // Objects of the list pages that were read so far, and the lowest revision of these pages.
     std::vector<feed_object> partial_list;
@@ -125,7 +126,9 @@
     std::uint64_t revision = 0;
     // When the source confirmed the content; empty after a list that may lag.
     std::optional<helpers::time_point> confirmed_at;
+    // Whether a peer, and not the source itself, confirmed the content at that time.
     bool is_confirmed_by_peer = false;
+    // When the last list arrived; before the first one, when the feed was started.
     helpers::time_point listed_at{};
     list_freshness freshness = list_freshness::may_lag;
     bool has_listed = false;
--- a/src/discovery/freshness.hpp
+++ b/src/discovery/freshness.hpp
@@ -22,10 +22,11 @@
     // need one call only.
     helpers::duration batch_delay;
     // A hub whose content is older than this queries the source itself. Leaves time for its
-    // followers to receive the change before they exceed follower_age.
+    // followers to receive the change before their content exceeds follower_age.
     helpers::duration hub_age;
-    // Content from a peer counts as lost after this time. Above the ages that occur while all
-    // gateways work: the reader's wait and delay, and two reports with their replies.
+    // Content from a peer that is older than this counts as lost. While all gateways work, its age
+    // stays below: it consists of the reader's wait and delay, and of two reports with their
+    // replies.
     helpers::duration lost_age;
     // A follower whose content is older than this queries the source itself. The rest of the bound
     // covers the call and a retry on a new connection.
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -25,8 +25,8 @@
     discovery::watch_timing timing;
     timing.wait = limits.reader_wait;
     timing.batch_delay = limits.batch_delay;
-    timing.max_unwatched_age = limits.hub_age;
-    timing.max_unconfirmed_age = limits.lost_age;
+    timing.reader_lost_age = limits.hub_age;
+    timing.peer_lost_age = limits.lost_age;
     timing.max_hub_age = limits.hub_age;
     timing.max_follower_age = limits.follower_age;
     timing.max_isolated_age = limits.hub_age;
@@ -34,8 +34,8 @@
     return timing;
 }
 
-// Gateways that differ in the targets they know send the same prefix to different engines, which
-// costs callers more than the calls of the few gateways that reach no peer.
+// A gateway that reaches no peer queries the targets as often as the reader does. Gateways that
+// know different targets send the same prefix to different engines, which then process it twice.
 discovery::watch_timing target_timing(const discovery::freshness_limits& limits) {
     auto timing = feed_timing(limits);
     timing.max_isolated_age = limits.reader_wait;
@@ -46,8 +46,8 @@
     discovery::watch_timing timing;
     timing.wait = member_watch_wait;
     timing.batch_delay = member_batch_delay;
-    timing.max_unwatched_age = member_max_age;
-    timing.max_unconfirmed_age = member_max_age;
+    timing.reader_lost_age = member_max_age;
+    timing.peer_lost_age = member_max_age;
     timing.max_hub_age = member_max_age;
     timing.max_follower_age = member_max_age;
     timing.max_isolated_age = member_max_age;
@@ -69,16 +69,16 @@
       drained_data_centres(
           [this](const auto& objects) { this->apply_drained_data_centres(objects); }),
       members([this](const auto& objects) { this->set_members(objects); }),
-      source_gate(services.loop, services.random),
-      configuration_feed(services.loop, services.events, this->source_gate, services.feeds,
+      store_gate(services.loop, services.random),
+      configuration_feed(services.loop, services.events, this->store_gate, services.feeds,
                          this->configurations, discovery::collection::configuration,
                          feed_timing(limits)),
-      target_feed(services.loop, services.events, this->source_gate, services.feeds, this->targets,
+      target_feed(services.loop, services.events, this->store_gate, services.feeds, this->targets,
                   discovery::collection::targets, target_timing(limits)),
-      drained_feed(services.loop, services.events, this->source_gate, services.feeds,
+      drained_feed(services.loop, services.events, this->store_gate, services.feeds,
                    this->drained_data_centres, discovery::collection::departures,
                    feed_timing(limits)),
-      member_feed(services.loop, services.events, this->source_gate, services.feeds, this->members,
+      member_feed(services.loop, services.events, this->store_gate, services.feeds, this->members,
                   discovery::collection::members, member_timing(limits)) {
     this->catalog.on_change([this] { this->dispatch.serve_queue(); });
 }
@@ -141,8 +141,9 @@
     this->publish_members();
 }
 
-// Gateways that start together see each other only after they have registered. Before, each of them
-// would take itself for the first hub.
+// Passes the member list on once it contains this gateway's entry, or after max_settling_time.
+// Gateways that start together see each other only after they have registered; before that each
+// would consider itself the first hub.
 void fleet_state::publish_members() {
     const auto settled_by = this->started_at + max_settling_time;
     const auto now = this->services.loop.time().now();
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -47,7 +47,7 @@
     }
 
     // Admits the calls of all feeds to the store.
-    discovery::source_gate& gate() { return this->source_gate; }
+    discovery::source_gate& gate() { return this->store_gate; }
 
     // Removes the entry of a gateway that has stopped. A gateway that is removed while it runs
     // registers again.
@@ -119,7 +119,7 @@
     target_receiver targets;
     collection_receiver drained_data_centres;
     collection_receiver members;
-    discovery::source_gate source_gate;
+    discovery::source_gate store_gate;
     discovery::feed_watch configuration_feed;
     discovery::feed_watch target_feed;
     discovery::feed_watch drained_feed;
--- a/tests/exchange/test_exchange_node.cpp
+++ b/tests/exchange/test_exchange_node.cpp
@@ -105,7 +105,7 @@
     static discovery::watch_timing member_timing() {
         discovery::watch_timing timing;
         timing.wait = 10s;
-        timing.max_unwatched_age = timing.max_unconfirmed_age = 13s;
+        timing.reader_lost_age = timing.peer_lost_age = 13s;
         timing.max_hub_age = timing.max_follower_age = timing.max_isolated_age = 13s;
         return timing;
     }
