--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <utility>
 
 namespace samphirespool::gateway {
@@ -37,6 +38,7 @@
 constexpr int status_misdirected = 421;
 constexpr int first_redirect = 300;
 constexpr int first_success = 200;
+constexpr int hexadecimal = 16;
 
 bool is_success(int status) {
     return status >= first_success && status < first_redirect;
@@ -49,8 +51,29 @@
            not_run_statuses.end();
 }
 
+constexpr std::size_t max_logged_segments = 8;
+
+// The ids of the first segments of a prompt, in hexadecimal and separated by commas.
+std::string segment_list(const placement::prompt& from) {
+    std::string result;
+    const auto count = std::min(from.segments.size(), max_logged_segments);
+    for (std::size_t i = 0; i < count; ++i) {
+        std::array<char, 16> digits{};
+        const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
+                                       from.segments[i].id, hexadecimal)
+                             .ptr;
+        result.append(i == 0 ? "" : ",").append(digits.data(), end);
+    }
+    return result;
+}
+
 } // namespace
 
+std::string_view proxied_request::to_string(response_progress progress) {
+    constexpr std::array<std::string_view, 3> names{"none", "begun", "under_way"};
+    return names.at(static_cast<std::size_t>(progress));
+}
+
 proxied_request::proxied_request(request_services& services, std::unique_ptr<http::exchange> caller,
                                  std::shared_ptr<const routing::route_table> table,
                                  helpers::time_point arrived, std::uint64_t sequence,
@@ -172,6 +195,8 @@
     this->silence_reported = false;
     this->buffered_body.clear();
     this->splitter.discard_partial();
+    this->has_head = false;
+    this->earlier_events = this->splitter.event_count();
     this->call = this->services.targets.start(this->make_target_request(), *this);
 }
 
@@ -271,6 +296,7 @@
 
 void proxied_request::on_head(int response_status, const http::header_list& headers) {
     const auto& names = this->services.names;
+    this->has_head = true;
     this->read_occupancy_report(headers);
     if (response_status == status_misdirected) {
         this->services.catalog.remove_replaced(this->current_assignment->target->serial);
@@ -418,6 +444,9 @@
                                  {"attempt", std::uint64_t{this->connect_attempts}},
                                  {"reason", reason.detail},
                                  {"may_have_run", outcome != attempt_outcome::not_run},
+                                 {"progress", std::string(to_string(this->progress()))},
+                                 {"events", this->splitter.event_count() - this->earlier_events},
+                                 {"segments", segment_list(this->metadata.prompt)},
                                  {"left_ms", helpers::whole_milliseconds(this->time_left())}});
     this->has_reached_target = false;
     this->may_have_run = this->may_have_run || outcome != attempt_outcome::not_run;
@@ -426,6 +455,14 @@
     this->release(result);
 }
 
+proxied_request::response_progress proxied_request::progress() const {
+    if (!this->has_head)
+        return response_progress::none;
+    return this->splitter.event_count() - this->earlier_events < events_under_way
+               ? response_progress::begun
+               : response_progress::under_way;
+}
+
 void proxied_request::retry() {
     if (this->attempts > 0)
         ++this->services.counters.retries;
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -68,6 +68,8 @@
 
 private:
     static constexpr int first_server_error = 500;
+    // A stream whose target has sent this many events has got past the start of the generation.
+    static constexpr std::uint64_t events_under_way = 2;
 
     bool on_connected() override;
     void on_head(int status, const http::header_list& headers) override;
@@ -75,6 +77,15 @@
     void on_done() override;
     void on_failed(const kernel::error& reason, bool maybe_sent) override;
 
+    // How far the response to the current attempt has come.
+    enum class response_progress : std::uint8_t {
+        // No response head.
+        none,
+        // The target has begun to respond, but has sent fewer than events_under_way events.
+        begun,
+        under_way,
+    };
+
     // How one attempt ended.
     enum class attempt_outcome : std::uint8_t {
         // No byte of the request was sent, or the target stated that it did not run the request.
@@ -105,6 +116,8 @@
     void finish_attempt(attempt_outcome outcome, const kernel::error& reason);
     // Cancels the call, logs the failure and returns the assignment to the dispatcher.
     void close_attempt(attempt_outcome outcome, const kernel::error& reason, attempt_result result);
+    response_progress progress() const;
+    static std::string_view to_string(response_progress progress);
     // Returns whether another attempt is allowed; if so, it is charged to the fleet's retry budget
     // unless no attempt has reached a target yet.
     bool may_retry(attempt_outcome outcome);
@@ -148,6 +161,10 @@
     std::uint32_t connect_attempts = 0;
     // A finished attempt may have run the request.
     bool may_have_run = false;
+    // The target of the current attempt has sent a response head.
+    bool has_head = false;
+    // Events of the earlier attempts.
+    std::uint64_t earlier_events = 0;
     // The current attempt has reached its target.
     bool has_reached_target = false;
     bool is_event_stream = false;
--- a/tests/gateway/gateway_harness.hpp
+++ b/tests/gateway/gateway_harness.hpp
@@ -7,8 +7,10 @@
 
 #include <algorithm>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace samphirespool::tests {
@@ -65,6 +67,41 @@
     };
 };
 
+// Keeps the events of a gateway's log.
+class recording_sink final : public kernel::event_sink {
+public:
+    struct entry {
+        std::string name;
+        std::map<std::string, std::variant<std::int64_t, std::uint64_t, double, bool, std::string>,
+                 std::less<>>
+            fields;
+
+        std::string text(std::string_view field) const {
+            const auto found = this->fields.find(field);
+            const auto* value =
+                found == this->fields.end() ? nullptr : std::get_if<std::string>(&found->second);
+            return value == nullptr ? std::string() : *value;
+        }
+    };
+
+    void write(kernel::severity, std::string_view name, const std::optional<helpers::request_id>&,
+               std::initializer_list<kernel::event_field> fields) override {
+        auto& added = this->entries.emplace_back();
+        added.name = name;
+        for (const auto& each : fields)
+            added.fields.emplace(each.name, each.value);
+    }
+
+    // The latest event with this name; null if there is none.
+    const entry* last(std::string_view name) const {
+        const auto found = std::find_if(this->entries.rbegin(), this->entries.rend(),
+                                        [name](const auto& each) { return each.name == name; });
+        return found == this->entries.rend() ? nullptr : &*found;
+    }
+
+    std::vector<entry> entries;
+};
+
 inline discovery::target make_target(const std::string& name, const std::string& service,
                                      const std::string& data_centre = "east",
                                      std::uint32_t slots = 8) {
@@ -169,7 +206,7 @@
 
     kernel::manual_loop loop;
     kernel::random_source random{5};
-    kernel::null_sink events;
+    recording_sink events;
     std::shared_ptr<const routing::route_table> table;
     discovery::target_catalog catalog;
     gateway::dispatcher dispatch;
--- a/tests/gateway/test_proxied_request.cpp
+++ b/tests/gateway/test_proxied_request.cpp
@@ -369,3 +369,28 @@
     gateway.process_events();
     CHECK(failures(gateway) == 2);
 }
+
+// Guards against logs from which a request whose prompt crashes targets looks like any other
+// request that was in progress on a lost target.
+TEST_CASE("gateway: a failed attempt is logged with its prompt and the progress of its response") {
+    gateway_harness harness;
+    const auto progress_after = [&harness](bool has_head, std::string_view events) {
+        harness.send("/write/1", {{"x-prompt-parts", "a1:5,b2:7,c3:1"}});
+        auto& call = harness.last_call();
+        call.connect();
+        if (has_head)
+            call.head(200);
+        if (!events.empty())
+            call.body(events);
+        call.fail(true);
+        harness.process_events();
+        const auto* logged = harness.events.last("request.attempt_failed");
+        REQUIRE(logged != nullptr);
+        CHECK(logged->text("segments") == "a1,b2,c3");
+        return logged->text("progress");
+    };
+    CHECK(progress_after(false, "") == "none");
+    CHECK(progress_after(true, "") == "begun");
+    CHECK(progress_after(true, "id: 1\n\nid: 2") == "begun");
+    CHECK(progress_after(true, "id: 1\n\nid: 2\n\n") == "under_way");
+}
