Record quarantined prompt segments in the store

Cause: a quarantine lived in the gateways' memory and the exchange only. When all gateways stop at once it is forgotten and costs three further targets, and a gateway that reaches the store but no peer has to find out by itself. Change: a fifth feed. Hubs, and gateways without a hub, create an entry for each quarantined segment, replace it when the segment is released, and remove it two minutes later; a missing entry releases nothing, since the store may have lost it. Gateways without peers read the feed as often as the others. Reports name their later feeds apart, so that releases with four feeds still understand them. Conclusion: the quarantine survives a restart of the whole fleet and partitions.

--- a/src/admission/segment_quarantine.cpp
+++ b/src/admission/segment_quarantine.cpp
@@ -22,7 +22,7 @@
 // connections can fail as a whole.
 constexpr helpers::duration moment_length = std::chrono::milliseconds(50);
 constexpr std::size_t max_losses = 16;
-// Of one segment. More do not change what receivers do.
+// Of one segment. Receivers need only the latest of a quarantined segment that is no news.
 constexpr std::size_t max_sent_losses = 6;
 constexpr std::size_t max_segments = 512;
 constexpr std::size_t max_explained = 1024;
@@ -70,7 +70,7 @@
         state.depth = std::max(state.depth, depth++);
         this->record_loss(state, {incarnation_hash, had_begun, now}, now);
     }
-    this->quarantine_suspects();
+    this->quarantine_suspects(now);
     this->evict(now);
 }
 
@@ -108,10 +108,11 @@
 void segment_quarantine::clear(std::uint64_t segment, segment_state& state,
                                helpers::time_point now) {
     if (state.is_quarantined)
-        this->transitions.push_back({segment, false, this->weigh(state, false).moments});
+        this->transitions.push_back({segment, false, this->moments_of(state)});
     ++state.generation;
     state.is_quarantined = false;
     state.losses.clear();
+    state.stated_moments = 0;
     state.trial_at.reset();
     state.cleared_at = now;
     state.changed_at = now;
@@ -139,7 +140,7 @@
 
 // Quarantines the segment that explains most losses, the deepest of several, until the losses that
 // remain blame no other one. So a segment that precedes a harmful one in its prompts is spared.
-void segment_quarantine::quarantine_suspects() {
+void segment_quarantine::quarantine_suspects(helpers::time_point now) {
     while (true) {
         auto worst = this->segments.end();
         std::tuple<std::uint32_t, std::uint8_t> most{quarantine_score, 0};
@@ -154,17 +155,50 @@
         }
         if (worst == this->segments.end())
             return;
-        this->quarantine(worst->first, worst->second);
+        this->quarantine(worst->first, worst->second, now);
     }
 }
 
-void segment_quarantine::quarantine(std::uint64_t segment, segment_state& state) {
+void segment_quarantine::quarantine(std::uint64_t segment, segment_state& state,
+                                    helpers::time_point now) {
     state.is_quarantined = true;
+    state.quarantined_at = now;
+    state.changed_at = now;
     if (this->explained.size() > max_explained)
         this->explained.clear();
     for (const auto& each : state.losses)
         this->explained.insert(each.incarnation_hash);
-    this->transitions.push_back({segment, true, this->weigh(state, false).moments});
+    this->transitions.push_back({segment, true, this->moments_of(state)});
+}
+
+std::size_t segment_quarantine::moments_of(const segment_state& state) const {
+    return std::max(state.stated_moments, this->weigh(state, false).moments);
+}
+
+segment_evidence segment_quarantine::describe(std::uint64_t segment,
+                                              const segment_state& state) const {
+    segment_evidence result;
+    result.segment = segment;
+    result.generation = state.generation;
+    result.is_quarantined = state.is_quarantined;
+    result.depth = state.depth;
+    result.moments = static_cast<std::uint8_t>(std::min(this->moments_of(state), max_losses));
+    return result;
+}
+
+std::optional<segment_evidence> segment_quarantine::state_of(std::uint64_t segment) const {
+    const auto found = this->segments.find(segment);
+    if (found == this->segments.end())
+        return std::nullopt;
+    return this->describe(segment, found->second);
+}
+
+std::vector<segment_evidence> segment_quarantine::quarantined() const {
+    std::vector<segment_evidence> result;
+    for (const auto& [segment, state] : this->segments)
+        if (state.is_quarantined)
+            result.push_back(this->describe(segment, state));
+    return result;
 }
 
 segment_quarantine::verdict segment_quarantine::check(const placement::prompt& prompt,
@@ -193,15 +227,14 @@
 
 bool segment_quarantine::may_try(std::uint64_t segment, const segment_state& state,
                                  helpers::time_point now) const {
-    if (state.losses.empty())
-        return false;
-    const auto moments = this->weigh(state, false).moments;
+    const auto moments = this->moments_of(state);
     const auto steps =
         std::min(moments - std::min(moments, losses_before_first_trial), max_wait_steps);
     auto wait = first_trial_wait;
     for (std::size_t i = 0; i < steps; ++i)
         wait *= trial_wait_factor;
-    const auto since_wait = now - state.losses.back().at - wait;
+    const auto last_loss = state.losses.empty() ? state.quarantined_at : state.losses.back().at;
+    const auto since_wait = now - last_loss - wait;
     if (since_wait < helpers::duration::zero())
         return false;
     if (state.trial_at && now - *state.trial_at < wait)
@@ -223,12 +256,12 @@
                 continue;
             if (!always_sent && now - state.changed_at > news_lifetime)
                 continue;
-            segment_evidence common{segment, state.generation, state.is_quarantined, 0,
-                                    state.depth};
+            auto common = this->describe(segment, state);
             if (state.losses.empty())
                 result.push_back(common);
-            const auto skipped =
-                state.losses.size() - std::min(state.losses.size(), max_sent_losses);
+            const bool is_news = now - state.changed_at <= news_lifetime;
+            const auto sent = state.is_quarantined && !is_news ? 1 : max_sent_losses;
+            const auto skipped = state.losses.size() - std::min(state.losses.size(), sent);
             for (const auto& each : std::span(state.losses).subspan(skipped)) {
                 common.incarnation_hash = each.incarnation_hash;
                 common.had_begun = each.had_begun;
@@ -251,7 +284,7 @@
     for (const auto& each : received)
         any_changed |= this->merge_one(each, now);
     if (any_changed)
-        this->quarantine_suspects();
+        this->quarantine_suspects(now);
     this->evict(now);
 }
 
@@ -273,11 +306,10 @@
         state.generation = received.generation;
     }
     state.depth = std::max(state.depth, received.depth);
+    state.stated_moments = std::max<std::size_t>(state.stated_moments, received.moments);
     const bool changed = received.incarnation_hash != 0 && this->record_loss(state, stated, now);
-    if (received.is_quarantined && !state.is_quarantined) {
-        this->quarantine(received.segment, state);
-        state.changed_at = now;
-    }
+    if (received.is_quarantined && !state.is_quarantined)
+        this->quarantine(received.segment, state, now);
     return changed;
 }
 
--- a/src/admission/segment_quarantine.hpp
+++ b/src/admission/segment_quarantine.hpp
@@ -28,6 +28,8 @@
     std::uint32_t incarnation_hash = 0;
     // Number of segments before this one in the prompt.
     std::uint8_t depth = 0;
+    // Moments at which targets were lost, as far as the sender knows.
+    std::uint8_t moments = 0;
     // The response had begun, but was not under way.
     bool had_begun = false;
     // Time since the loss.
@@ -75,6 +77,11 @@
     segment_evidence_list evidence(helpers::time_point now) const;
     void merge(std::span<const segment_evidence> received, helpers::time_point now);
 
+    // The state of a segment: whether it is quarantined, and since how many clearances. Nothing if
+    // the segment is unknown.
+    std::optional<segment_evidence> state_of(std::uint64_t segment) const;
+    std::vector<segment_evidence> quarantined() const;
+
     // Returns the segments that were quarantined or released since the last call.
     std::vector<transition> take_transitions();
     std::size_t quarantined_count() const;
@@ -94,6 +101,9 @@
         bool is_quarantined = false;
         // Invariant: one entry for each incarnation, ordered by time, at most max_losses.
         std::vector<loss> losses;
+        // The number of moments that a peer or the store has stated.
+        std::size_t stated_moments = 0;
+        helpers::time_point quarantined_at{};
         helpers::time_point changed_at{};
         std::optional<helpers::time_point> cleared_at;
         // The latest trial that this gateway sent.
@@ -110,9 +120,11 @@
     bool record_loss(segment_state& state, const loss& added, helpers::time_point now);
     bool merge_one(const segment_evidence& received, helpers::time_point now);
     void clear(std::uint64_t segment, segment_state& state, helpers::time_point now);
-    void quarantine(std::uint64_t segment, segment_state& state);
-    void quarantine_suspects();
+    void quarantine(std::uint64_t segment, segment_state& state, helpers::time_point now);
+    void quarantine_suspects(helpers::time_point now);
     weight weigh(const segment_state& state, bool ignore_explained) const;
+    std::size_t moments_of(const segment_state& state) const;
+    segment_evidence describe(std::uint64_t segment, const segment_state& state) const;
     bool may_try(std::uint64_t segment, const segment_state& state, helpers::time_point now) const;
     void evict(helpers::time_point now);
 
--- a/src/discovery/feed.hpp
+++ b/src/discovery/feed.hpp
@@ -25,8 +25,12 @@
     departures,
     // The gateways of the fleet.
     members,
+    // Prompt segments that crash targets.
+    quarantine,
 };
 
+constexpr std::size_t collection_count = 5;
+
 // Name of the collection in log events.
 std::string_view to_string(collection kind);
 
--- a/src/exchange/exchange_node.cpp
+++ b/src/exchange/exchange_node.cpp
@@ -6,6 +6,16 @@
 
 namespace samphirespool::exchange {
 
+namespace {
+
+// The member list and the quarantine may be older than the others: the exchange itself notices lost
+// members, and carries the evidence that leads to a quarantine.
+bool may_be_old(discovery::collection kind) {
+    return kind == discovery::collection::members || kind == discovery::collection::quarantine;
+}
+
+} // namespace
+
 exchange_node::exchange_node(kernel::loop& loop, kernel::event_sink& events, exchange_link& link,
                              const feed_list& feeds, discovery::source_gate& gate, std::string self,
                              const exchange_timing& timing)
@@ -231,8 +241,7 @@
 helpers::duration exchange_node::oldest_feed_age(helpers::time_point now) const {
     auto oldest = helpers::duration::zero();
     for (std::size_t i = 0; i < feed_count; ++i)
-        // The member list may be older than the others.
-        if (static_cast<discovery::collection>(i) != discovery::collection::members)
+        if (!may_be_old(static_cast<discovery::collection>(i)))
             oldest = std::max(oldest, this->feeds[i]->age(now));
     return oldest;
 }
@@ -367,7 +376,7 @@
 std::vector<feed_update> exchange_node::make_updates(const report& message,
                                                      helpers::time_point now) {
     std::vector<feed_update> result;
-    for (std::size_t i = 0; i < feed_count; ++i) {
+    for (std::size_t i = 0; i < message.known_feeds; ++i) {
         const auto& feed = *this->feeds[i];
         feed_update update;
         update.collection = static_cast<discovery::collection>(i);
--- a/src/exchange/message.hpp
+++ b/src/exchange/message.hpp
@@ -14,7 +14,7 @@
 
 namespace samphirespool::exchange {
 
-constexpr std::size_t feed_count = 4;
+constexpr std::size_t feed_count = discovery::collection_count;
 
 struct target_count {
     // Identifies one incarnation of a target; see discovery::tracked_target.
@@ -42,6 +42,8 @@
     bool wants_updates = true;
     // Revision up to which the sender has read each feed, indexed by collection.
     std::array<std::uint64_t, feed_count> revisions{};
+    // Number of feeds that the sender knows; those after it are not sent to it.
+    std::size_t known_feeds = feed_count;
     target_counts loads;
     admission::segment_evidence_list evidence;
 };
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -55,6 +55,15 @@
     return timing;
 }
 
+// The exchange spreads a quarantine, so its entries may be old, except in a gateway that reaches no
+// peer.
+discovery::watch_timing quarantine_timing(const discovery::freshness_limits& limits) {
+    auto timing = member_timing(limits);
+    timing.batch_delay = limits.batch_delay;
+    timing.max_isolated_age = limits.follower_age;
+    return timing;
+}
+
 } // namespace
 
 fleet_state::fleet_state(const fleet_state_services& services, discovery::target_catalog& catalog,
@@ -69,6 +78,10 @@
       drained_data_centres(
           [this](const auto& objects) { this->apply_drained_data_centres(objects); }),
       members([this](const auto& objects) { this->set_members(objects); }),
+      quarantined_segments([this](const auto& objects) {
+          if (this->quarantine_handler)
+              this->quarantine_handler(objects);
+      }),
       store_gate(services.loop, services.random),
       configuration_feed(services.loop, services.events, this->store_gate, services.feeds,
                          this->configurations, discovery::collection::configuration,
@@ -79,7 +92,10 @@
                    this->drained_data_centres, discovery::collection::departures,
                    feed_timing(limits)),
       member_feed(services.loop, services.events, this->store_gate, services.feeds, this->members,
-                  discovery::collection::members, member_timing(limits)) {
+                  discovery::collection::members, member_timing(limits)),
+      quarantine_feed(services.loop, services.events, this->store_gate, services.feeds,
+                      this->quarantined_segments, discovery::collection::quarantine,
+                      quarantine_timing(limits)) {
     this->catalog.on_change([this] { this->dispatch.serve_queue(); });
 }
 
@@ -95,6 +111,7 @@
     this->target_feed.start();
     this->drained_feed.start();
     this->member_feed.start();
+    this->quarantine_feed.start();
     this->expire_missing_targets();
 }
 
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -1,5 +1,6 @@
-// The gateway's view of the fleet: the current configuration, the targets, the drained data centres
-// and the member list of gateways. Each is followed by a feed watch.
+// The gateway's view of the fleet: the current configuration, the targets, the drained data
+// centres, the member list of gateways and the quarantined prompt segments. Each is followed by a
+// feed watch.
 #pragma once
 
 #include "discovery/feed_watch.hpp"
@@ -43,7 +44,7 @@
     // Indexed by discovery::collection.
     exchange::exchange_node::feed_list feeds() {
         return {&this->configuration_feed, &this->target_feed, &this->drained_feed,
-                &this->member_feed};
+                &this->member_feed, &this->quarantine_feed};
     }
 
     // Admits the calls of all feeds to the store.
@@ -60,6 +61,12 @@
         this->members_handler = std::move(handler);
     }
 
+    // The handler receives all quarantined prompt segments that the store has, by name.
+    void
+    on_quarantine_changed(std::function<void(const std::map<std::string, std::string>&)> handler) {
+        this->quarantine_handler = std::move(handler);
+    }
+
     bool is_store_reachable() const { return this->configuration_feed.is_reachable(); }
 
 private:
@@ -119,12 +126,15 @@
     target_receiver targets;
     collection_receiver drained_data_centres;
     collection_receiver members;
+    collection_receiver quarantined_segments;
     discovery::source_gate store_gate;
     discovery::feed_watch configuration_feed;
     discovery::feed_watch target_feed;
     discovery::feed_watch drained_feed;
     discovery::feed_watch member_feed;
+    discovery::feed_watch quarantine_feed;
     std::function<void(const std::vector<exchange::member>&)> members_handler;
+    std::function<void(const std::map<std::string, std::string>&)> quarantine_handler;
     // The latest calls; a finished call is freed when the next one starts.
     std::unique_ptr<discovery::feed_call> registration;
     std::unique_ptr<discovery::feed_call> removal;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -98,6 +98,7 @@
             own_member(settings), freshness_of(settings)),
       load_exchange(loop, events, this->peer_link, this->fleet.feeds(), this->fleet.gate(),
                     settings.name, exchange_timing_of(settings)),
+      recorded_segments(loop, events, feeds, codec, this->prompts),
       services{loop,
                this->random,
                events,
@@ -123,6 +124,9 @@
             names.push_back(each.name);
         this->prompts.set_members(std::move(names));
     });
+    this->fleet.on_quarantine_changed(
+        [this](const auto& entries) { this->recorded_segments.set_entries(entries); });
+    this->recorded_segments.set_writer_check([this] { return this->load_exchange.is_hub(); });
     this->load_exchange.set_evidence_source([this] { return this->prompts.evidence(); });
     this->load_exchange.on_evidence(
         [this](const auto& received) { this->prompts.merge(received); });
@@ -233,6 +237,7 @@
         return false;
     }
     this->fleet.start();
+    this->recorded_segments.start();
     this->load_exchange.start();
     return true;
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -7,6 +7,7 @@
 #include "gateway/fleet_state.hpp"
 #include "gateway/prompt_guard.hpp"
 #include "gateway/proxied_request.hpp"
+#include "gateway/quarantine_registry.hpp"
 #include "gateway/startup_queue.hpp"
 #include "http/h2o_client.hpp"
 #include "http/h2o_server.hpp"
@@ -64,6 +65,7 @@
     wire::exchange_transport peer_link;
     fleet_state fleet;
     exchange::exchange_node load_exchange;
+    quarantine_registry recorded_segments;
     gateway_counters counters;
     latency_recorders latencies;
     bool shutting_down = false;
--- a/src/gateway/object_codec.hpp
+++ b/src/gateway/object_codec.hpp
@@ -1,6 +1,7 @@
 // Converts the content of store objects to the gateway's types and back.
 #pragma once
 
+#include "admission/segment_quarantine.hpp"
 #include "discovery/target.hpp"
 #include "exchange/hub_order.hpp"
 #include "kernel/error.hpp"
@@ -23,6 +24,10 @@
     virtual std::optional<exchange::member>
     read_member(std::string_view name, std::string_view content, kernel::error& reason) const = 0;
     virtual std::string write_member(const exchange::member& self) const = 0;
+    // The state of a prompt segment: generation, whether it is quarantined, depth and moments.
+    virtual std::optional<admission::segment_evidence>
+    read_segment(std::string_view name, std::string_view content, kernel::error& reason) const = 0;
+    virtual std::string write_segment(const admission::segment_evidence& state) const = 0;
 };
 
 } // namespace samphirespool::gateway
--- a/src/gateway/prompt_guard.cpp
+++ b/src/gateway/prompt_guard.cpp
@@ -1,8 +1,8 @@
 // Connects the quarantine of prompt segments with the requests, the clock and the log.
 #include "gateway/prompt_guard.hpp"
 
-#include <array>
-#include <charconv>
+#include "helpers/hex.hpp"
+
 #include <utility>
 
 namespace samphirespool::gateway {
@@ -11,14 +11,6 @@
 
 constexpr helpers::duration evidence_cache_time = std::chrono::milliseconds(40);
 
-std::string to_hex(std::uint64_t id) {
-    constexpr int hexadecimal = 16;
-    std::array<char, 16> digits{};
-    const auto end =
-        std::to_chars(digits.data(), digits.data() + digits.size(), id, hexadecimal).ptr;
-    return {digits.data(), end};
-}
-
 } // namespace
 
 prompt_guard::prompt_guard(kernel::loop& loop, kernel::event_sink& events, std::string self)
@@ -67,7 +59,7 @@
         this->events.write(
             each.is_quarantined ? kernel::severity::warning : kernel::severity::info,
             each.is_quarantined ? "segment.quarantined" : "segment.released", std::nullopt,
-            {{"segment", to_hex(each.segment)}, {"losses", std::uint64_t{each.losses}}});
+            {{"segment", helpers::to_hex(each.segment)}, {"losses", std::uint64_t{each.losses}}});
 }
 
 } // namespace samphirespool::gateway
--- a/src/gateway/prompt_guard.hpp
+++ b/src/gateway/prompt_guard.hpp
@@ -36,6 +36,14 @@
     const admission::segment_evidence_list& evidence();
     void merge(std::span<const admission::segment_evidence> received);
 
+    // The state of segments, for the registry in the store.
+    std::optional<admission::segment_evidence> state_of(std::uint64_t segment) const {
+        return this->quarantine.state_of(segment);
+    }
+    std::vector<admission::segment_evidence> quarantined() const {
+        return this->quarantine.quarantined();
+    }
+
     std::size_t quarantined_segments() const { return this->quarantine.quarantined_count(); }
     const std::uint64_t& rejections() const { return this->rejection_count; }
     const std::uint64_t& trials() const { return this->trial_count; }
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -1,9 +1,10 @@
 // Admission, attempts, responses and retries of one request.
 #include "gateway/proxied_request.hpp"
 
+#include "helpers/hex.hpp"
+
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <utility>
 
 namespace samphirespool::gateway {
@@ -38,7 +39,6 @@
 constexpr int status_misdirected = 421;
 constexpr int first_redirect = 300;
 constexpr int first_success = 200;
-constexpr int hexadecimal = 16;
 
 bool is_success(int status) {
     return status >= first_success && status < first_redirect;
@@ -57,13 +57,8 @@
 std::string segment_list(const placement::prompt& from) {
     std::string result;
     const auto count = std::min(from.segments.size(), max_logged_segments);
-    for (std::size_t i = 0; i < count; ++i) {
-        std::array<char, 16> digits{};
-        const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
-                                       from.segments[i].id, hexadecimal)
-                             .ptr;
-        result.append(i == 0 ? "" : ",").append(digits.data(), end);
-    }
+    for (std::size_t i = 0; i < count; ++i)
+        result.append(i == 0 ? "" : ",").append(helpers::to_hex(from.segments[i].id));
     return result;
 }
 
--- /dev/null
+++ b/src/gateway/quarantine_registry.cpp
@@ -0,0 +1,127 @@
+// Compares the quarantined segments with their entries in the store, and writes the differences.
+#include "gateway/quarantine_registry.hpp"
+
+#include "helpers/hex.hpp"
+
+#include <utility>
+#include <vector>
+
+namespace samphirespool::gateway {
+
+namespace {
+
+constexpr helpers::duration reconcile_interval = std::chrono::milliseconds(200);
+constexpr helpers::duration retry_delay = std::chrono::seconds(1);
+// The entry of a released segment is kept for gateways that are cut off from their peers.
+constexpr helpers::duration released_lifetime = std::chrono::minutes(2);
+
+} // namespace
+
+quarantine_registry::quarantine_registry(kernel::loop& loop, kernel::event_sink& events,
+                                         discovery::feed_source& store, const object_codec& codec,
+                                         prompt_guard& prompts)
+    : loop(loop), events(events), store(store), codec(codec), prompts(prompts) {}
+
+quarantine_registry::~quarantine_registry() {
+    this->loop.cancel(this->timer);
+}
+
+void quarantine_registry::start() {
+    this->reconcile();
+}
+
+void quarantine_registry::set_entries(const std::map<std::string, std::string>& contents) {
+    const auto now = this->loop.time().now();
+    auto former = std::exchange(this->listed, {});
+    std::vector<admission::segment_evidence> news;
+    for (const auto& [name, content] : contents) {
+        kernel::error reason;
+        const auto state = this->codec.read_segment(name, content, reason);
+        if (!state) {
+            this->events.write(kernel::severity::warning, "segment.rejected", std::nullopt,
+                               {{"segment", name}, {"reason", reason.detail}});
+            continue;
+        }
+        const auto before = former.find(state->segment);
+        const bool is_known = before != former.end() && before->second.state == *state;
+        this->listed[state->segment] = {*state, is_known ? before->second.changed_at : now};
+        if (!is_known)
+            news.push_back(*state);
+    }
+    this->prompts.merge(news);
+}
+
+void quarantine_registry::reconcile() {
+    this->timer = this->loop.schedule(reconcile_interval, [this] { this->reconcile(); });
+    if (this->is_calling || this->loop.time().now() < this->next_call_at)
+        return;
+    if (this->is_writer && !this->is_writer())
+        return;
+    if (!this->write_next())
+        this->remove_next_released();
+}
+
+bool quarantine_registry::write_next() {
+    for (const auto& state : this->prompts.quarantined()) {
+        const auto found = this->listed.find(state.segment);
+        const bool exists = found != this->listed.end();
+        if (exists && found->second.state.generation >= state.generation)
+            continue;
+        this->write(state, exists);
+        return true;
+    }
+    for (const auto& [segment, entry] : this->listed) {
+        const auto state = this->prompts.state_of(segment);
+        if (!entry.state.is_quarantined || !state || state->is_quarantined ||
+            state->generation <= entry.state.generation)
+            continue;
+        this->write(*state, true);
+        return true;
+    }
+    return false;
+}
+
+bool quarantine_registry::remove_next_released() {
+    const auto now = this->loop.time().now();
+    for (const auto& [segment, entry] : this->listed) {
+        if (entry.state.is_quarantined || now - entry.changed_at < released_lifetime)
+            continue;
+        this->is_calling = true;
+        this->call = this->store.remove(
+            discovery::collection::quarantine, helpers::to_hex(segment),
+            [this, id = segment](const auto& result) { this->on_finished(id, result); });
+        return true;
+    }
+    return false;
+}
+
+void quarantine_registry::write(const admission::segment_evidence& state, bool exists) {
+    this->is_calling = true;
+    const auto name = helpers::to_hex(state.segment);
+    const auto content = this->codec.write_segment(state);
+    const auto done = [this, state](const discovery::feed_result& result) {
+        // Until the feed shows the entry, it is not written again.
+        if (!std::holds_alternative<kernel::error>(result))
+            this->listed[state.segment] = {state, this->loop.time().now()};
+        this->on_finished(state.segment, result);
+    };
+    const auto kind = discovery::collection::quarantine;
+    this->call = exists ? this->store.replace(kind, name, content, done)
+                        : this->store.create(kind, name, content, done);
+}
+
+void quarantine_registry::on_finished(std::uint64_t segment, const discovery::feed_result& result) {
+    this->is_calling = false;
+    const auto* reason = std::get_if<kernel::error>(&result);
+    if (reason != nullptr)
+        this->next_call_at = this->loop.time().now() + retry_delay;
+    // A conflict means that another gateway was first.
+    const bool is_done = reason == nullptr || reason->kind == kernel::error_kind::conflict;
+    this->events.write(is_done ? kernel::severity::info : kernel::severity::warning,
+                       "segment.recorded", std::nullopt,
+                       {{"segment", helpers::to_hex(segment)},
+                        {"done", is_done},
+                        {"reason", reason == nullptr ? std::string() : reason->detail}});
+}
+
+} // namespace samphirespool::gateway
--- a/src/wire/exchange_codec.cpp
+++ b/src/wire/exchange_codec.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+// Feeds of the first release, which rejects reports with another number of revisions.
+constexpr std::size_t first_release_feeds = 4;
 // Longer ages are sent as this one.
 constexpr std::uint32_t max_age_ms = 3'600'000;
 
@@ -56,7 +58,7 @@
     result.reserve(evidence.size());
     for (const auto& each : evidence)
         result.emplace_back(each.segment, each.incarnation_hash, to_ms(each.age), each.generation,
-                            each.depth, each.is_quarantined, each.had_begun);
+                            each.depth, each.moments, each.is_quarantined, each.had_begun);
     return result;
 }
 
@@ -69,7 +71,7 @@
     result.reserve(evidence->size());
     for (const auto* each : *evidence)
         result.push_back({each->segment(), each->generation(), each->is_quarantined(),
-                          each->target(), each->depth(), each->had_begun(),
+                          each->target(), each->depth(), each->moments(), each->had_begun(),
                           std::chrono::milliseconds(each->age_ms())});
     return result;
 }
@@ -92,13 +94,16 @@
 }
 
 void write(flatbuffers::FlatBufferBuilder& builder, const exchange::report& content) {
-    const std::vector<std::uint64_t> revisions(content.revisions.begin(), content.revisions.end());
+    const auto first_later = content.revisions.begin() + first_release_feeds;
+    const std::vector<std::uint64_t> revisions(content.revisions.begin(), first_later);
+    const std::vector<std::uint64_t> later(first_later, content.revisions.end());
     const auto revisions_at = builder.CreateVector(revisions);
+    const auto later_at = builder.CreateVector(later);
     const auto loads_at = builder.CreateVectorOfStructs(to_wire(content.loads));
     const auto evidence_at = builder.CreateVectorOfStructs(to_wire(content.evidence));
     const auto report =
         fb::Createexchange_report(builder, content.round, content.for_group, revisions_at, loads_at,
-                                  !content.wants_updates, evidence_at);
+                                  !content.wants_updates, evidence_at, later_at);
     builder.Finish(fb::Createexchange_message(builder, report));
 }
 
@@ -129,9 +134,7 @@
     return result;
 }
 
-std::optional<exchange::feed_update> read_update(const fb::feed_news& from) {
-    if (from.collection() >= exchange::feed_count)
-        return std::nullopt;
+exchange::feed_update read_update(const fb::feed_news& from) {
     exchange::feed_update update;
     update.collection = static_cast<discovery::collection>(from.collection());
     update.age = std::chrono::milliseconds(from.age_ms());
@@ -146,9 +149,14 @@
     result.round = from.round();
     result.for_group = from.for_group();
     result.wants_updates = !from.skips_updates();
-    if (from.revisions() == nullptr || from.revisions()->size() != exchange::feed_count)
+    if (from.revisions() == nullptr || from.revisions()->size() != first_release_feeds)
         return std::nullopt;
     std::copy(from.revisions()->begin(), from.revisions()->end(), result.revisions.begin());
+    result.known_feeds = first_release_feeds;
+    if (from.later_revisions() != nullptr)
+        for (const auto revision : *from.later_revisions())
+            if (result.known_feeds < exchange::feed_count)
+                result.revisions.at(result.known_feeds++) = revision;
     result.loads = from_wire(from.loads());
     result.evidence = from_wire(from.evidence());
     return result;
@@ -162,12 +170,10 @@
     result.evidence = from_wire(from.evidence());
     if (from.feeds() == nullptr)
         return result;
-    for (const auto* feed : *from.feeds()) {
-        auto update = read_update(*feed);
-        if (!update)
-            return std::nullopt;
-        result.feeds.push_back(std::move(*update));
-    }
+    // A later release may have feeds that are unknown here.
+    for (const auto* feed : *from.feeds())
+        if (feed->collection() < exchange::feed_count)
+            result.feeds.push_back(read_update(*feed));
     return result;
 }
 
--- a/tests/exchange/test_exchange_node.cpp
+++ b/tests/exchange/test_exchange_node.cpp
@@ -84,8 +84,9 @@
           departures(loop, events, gate, source, ignored, collection::departures,
                      departure_timing()),
           members(loop, events, gate, source, ignored, collection::members, member_timing()),
-          node(loop, events, link, {&configuration, &targets, &departures, &members}, gate,
-               self.name, {}) {
+          quarantined(loop, events, gate, source, ignored, collection::quarantine, member_timing()),
+          node(loop, events, link, {&configuration, &targets, &departures, &members, &quarantined},
+               gate, self.name, {}) {
         network.links[self.address] = &this->link;
         this->node.set_own_counts_source([this] { return this->counts; });
         this->node.on_peer_counts([this](const auto& sums, std::uint32_t, helpers::duration) {
@@ -96,10 +97,10 @@
         this->node.on_evidence([this, &loop](const auto& received) {
             this->quarantine.merge(received, loop.time().now());
         });
-        for (auto* feed : {&configuration, &targets, &departures, &members})
+        for (auto* feed : {&configuration, &targets, &departures, &members, &quarantined})
             feed->start();
         // A list that may lag is as old as the store happens to answer.
-        for (int i = 0; i < 4; ++i)
+        for (int i = 0; i < feeds; ++i)
             this->source.complete(static_cast<collection>(i), page_of(list_revision));
     }
 
@@ -124,7 +125,7 @@
     void serve_store_watches() {
         if (this->store_is_silent)
             return;
-        for (int i = 0; i < 4; ++i) {
+        for (int i = 0; i < feeds; ++i) {
             const auto* call = this->source.open_call(static_cast<collection>(i));
             if (call == nullptr || call->method != "watch")
                 continue;
@@ -148,6 +149,8 @@
         return 0;
     }
 
+    static constexpr int feeds = discovery::collection_count;
+
     exchange::member self;
     kernel::random_source random{3};
     kernel::null_sink events;
@@ -160,6 +163,7 @@
     discovery::feed_watch targets;
     discovery::feed_watch departures;
     discovery::feed_watch members;
+    discovery::feed_watch quarantined;
     exchange::exchange_node node;
     admission::segment_quarantine quarantine{this->self.name};
     exchange::target_counts counts;
@@ -204,7 +208,7 @@
     std::size_t store_calls() const {
         std::size_t sum = 0;
         for (const auto& each : this->nodes)
-            sum += each->source.calls.size() - 4;
+            sum += each->source.calls.size() - gateway_node::feeds;
         return sum;
     }
     bool all_have(const std::string& content) const {
@@ -464,7 +468,7 @@
     gateways.run_for(10s);
     for (const auto& each : gateways.nodes)
         CHECK((each->node.is_following() || each->node.is_hub()));
-    const auto first_hub = gateways.reader().source.calls.size() - 4;
+    const auto first_hub = gateways.reader().source.calls.size() - gateway_node::feeds;
     // Only the first hub; the other hubs may have queried the source once before it was read.
     CHECK(gateways.store_calls() - first_hub <= 4 * 3);
     gateways.publish(9, "version 9");
@@ -504,7 +508,7 @@
         gateways.run_for(10s);
         // No follower has called, also in the group of the first hub.
         for (std::size_t i = 5; i < 60; ++i)
-            CHECK(gateways.at(i).source.calls.size() == 4);
+            CHECK(gateways.at(i).source.calls.size() == gateway_node::feeds);
         gateways.publish(9, "version 9");
         gateways.run_for(1700ms);
         CHECK(gateways.all_have("version 9"));
@@ -524,7 +528,7 @@
         CHECK(gateways.all_have("version 9"));
         std::size_t follower_calls = 0;
         for (std::size_t i = 5; i < 60; ++i)
-            follower_calls += gateways.at(i).source.calls.size() - 4;
+            follower_calls += gateways.at(i).source.calls.size() - gateway_node::feeds;
         CHECK(follower_calls <= 55);
     }
 }
--- a/tests/exchange/test_exchange_parts.cpp
+++ b/tests/exchange/test_exchange_parts.cpp
@@ -3,6 +3,7 @@
 #include "exchange/hub_order.hpp"
 #include "exchange/load_aggregator.hpp"
 #include "wire/exchange_codec.hpp"
+#include "wire/generated/exchange_generated.h"
 
 #include <doctest/doctest.h>
 
@@ -142,9 +143,9 @@
     report.round = 4;
     report.for_group = true;
     report.wants_updates = false;
-    report.revisions = {1, 2, 3, 4};
+    report.revisions = {1, 2, 3, 4, 5};
     report.loads = {{7, 8, {9, 10}, {11, 12}}, {8, 100'000}};
-    report.evidence = {{0xbad, 3, true, 17, 1, true, 250ms}, {0xa1, 4}};
+    report.evidence = {{0xbad, 3, true, 17, 1, 5, true, 250ms}, {0xa1, 4}};
     const auto encoded = wire::encode_exchange(report);
     const auto decoded_message = wire::decode_exchange(encoded);
     REQUIRE(decoded_message);
@@ -187,3 +188,28 @@
     for (std::size_t size = 0; size < encoded.size(); ++size)
         CHECK_FALSE(wire::decode_exchange(std::span(encoded).first(size)));
 }
+
+// Guards against fleets in which two releases run that do not understand each other.
+TEST_CASE(
+    "exchange codec: a report of a release with fewer feeds is read, and asks for no others") {
+    flatbuffers::FlatBufferBuilder builder;
+    const auto revisions = builder.CreateVector(std::vector<std::uint64_t>{1, 2, 3, 4});
+    const auto report = wire::fb::Createexchange_report(builder, 5, false, revisions);
+    builder.Finish(wire::fb::Createexchange_message(builder, report));
+    const auto decoded = wire::decode_exchange({builder.GetBufferPointer(), builder.GetSize()});
+    REQUIRE(decoded);
+    const auto& message = std::get<exchange::report>(*decoded);
+    CHECK(message.known_feeds == 4);
+    CHECK(message.revisions[3] == 4);
+}
+
+TEST_CASE("exchange codec: updates of feeds that are unknown here are skipped") {
+    exchange::reply sent;
+    sent.feeds.push_back({static_cast<discovery::collection>(77), 1ms, 5, std::nullopt});
+    sent.feeds.push_back({discovery::collection::members, 1ms, 6, std::nullopt});
+    const auto decoded = wire::decode_exchange(wire::encode_exchange(sent));
+    REQUIRE(decoded);
+    const auto& feeds = std::get<exchange::reply>(*decoded).feeds;
+    REQUIRE(feeds.size() == 1);
+    CHECK(feeds[0].collection == discovery::collection::members);
+}
