Segment quarantine: blame the likeliest segment, send the strongest evidence first

Losses that a wrongly quarantined segment explained stayed explained after its release, and hid the harmful one. A popular first segment was blamed before the harmful one behind it, and requests with the harmful one then used up its trials. Trials waited longer with each loss of a bystander. Evidence of many segments crowded out that of a quarantined one at the limit of a message, so that other gateways learned of it seconds later. Change: losses are explained only by quarantined segments that precede no deeper suspect and were there at as many losses; a segment is not blamed while a likelier one was there at most of its losses; a trial needs a prompt whose deeper segments are not under suspicion; only failed trials lengthen the wait; quarantined segments and the strongest suspicion are sent first. Five losses before a response suffice.

--- a/src/admission/segment_quarantine.cpp
+++ b/src/admission/segment_quarantine.cpp
@@ -16,8 +16,8 @@
 // whose prompt was still being processed.
 constexpr std::uint32_t begun_weight = 2;
 constexpr std::uint32_t waiting_weight = 1;
-// Three losses at the start of a response, or six before it, without any request that got further.
-constexpr std::uint32_t quarantine_score = 6;
+// Three losses at the start of a response, or five before it, without any request that got further.
+constexpr std::uint32_t quarantine_score = 5;
 // Targets that are lost within this time count once: a rack, a data centre or a gateway's own
 // connections can fail as a whole.
 constexpr helpers::duration moment_length = std::chrono::milliseconds(50);
@@ -25,7 +25,6 @@
 // Of one segment. Receivers need only the latest of a quarantined segment that is no news.
 constexpr std::size_t max_sent_losses = 6;
 constexpr std::size_t max_segments = 512;
-constexpr std::size_t max_explained = 1024;
 // Evidence is forgotten after this time without a change.
 constexpr helpers::duration evidence_lifetime = std::chrono::minutes(10);
 constexpr helpers::duration quarantine_lifetime = std::chrono::hours(1);
@@ -33,11 +32,10 @@
 constexpr helpers::duration news_lifetime = std::chrono::seconds(2);
 // Segments that lost targets at this many moments are always sent, also to gateways that join.
 constexpr std::size_t always_sent_moments = 2;
-// Wait before the first trial; each further loss multiplies it.
-constexpr helpers::duration first_trial_wait = std::chrono::seconds(5);
-constexpr std::int64_t trial_wait_factor = 4;
-constexpr std::size_t losses_before_first_trial = 3;
-constexpr std::size_t max_wait_steps = 3;
+// Wait after the latest loss before the first trial; each failed trial multiplies it.
+constexpr helpers::duration first_trial_wait = std::chrono::seconds(6);
+constexpr std::int64_t trial_wait_factor = 5;
+constexpr std::uint8_t max_failed_trials = 3;
 // Ages of exchanged losses are uncertain by this much.
 constexpr helpers::duration clearance_margin = std::chrono::milliseconds(300);
 // Gateways take turns of this length, in which the loss that a trial causes reaches all of them.
@@ -63,10 +61,13 @@
 
 void segment_quarantine::on_target_lost(const placement::prompt& prompt,
                                         std::uint32_t incarnation_hash, bool had_begun,
-                                        helpers::time_point now) {
+                                        verdict admitted_as, helpers::time_point now) {
     std::uint8_t depth = 0;
     for (const auto& each : shared_segments(prompt)) {
         auto& state = this->segments[each.id];
+        if (admitted_as == verdict::trial && state.is_quarantined &&
+            state.failed_trials < max_failed_trials)
+            ++state.failed_trials;
         state.depth = std::max(state.depth, depth++);
         this->record_loss(state, {incarnation_hash, had_begun, now}, now);
     }
@@ -92,8 +93,6 @@
                              [](helpers::time_point at, const loss& each) { return at < each.at; });
         state.losses.insert(place, added);
     }
-    if (state.is_quarantined)
-        this->explained.insert(added.incarnation_hash);
     state.changed_at = now;
     return true;
 }
@@ -107,25 +106,24 @@
 
 void segment_quarantine::clear(std::uint64_t segment, segment_state& state,
                                helpers::time_point now) {
-    if (state.is_quarantined)
-        this->transitions.push_back({segment, false, this->moments_of(state)});
+    const auto moments = weigh(state.losses).moments;
     ++state.generation;
-    state.is_quarantined = false;
     state.losses.clear();
-    state.stated_moments = 0;
+    state.failed_trials = 0;
     state.trial_at.reset();
     state.cleared_at = now;
     state.changed_at = now;
+    if (!std::exchange(state.is_quarantined, false))
+        return;
+    this->transitions.push_back({segment, false, moments});
+    this->quarantine_suspects(now);
 }
 
-segment_quarantine::weight segment_quarantine::weigh(const segment_state& state,
-                                                     bool ignore_explained) const {
+segment_quarantine::weight segment_quarantine::weigh(const std::vector<loss>& losses) {
     weight result;
     std::optional<helpers::time_point> moment_start;
     std::uint32_t moment_weight = 0;
-    for (const auto& each : state.losses) {
-        if (ignore_explained && this->explained.contains(each.incarnation_hash))
-            continue;
+    for (const auto& each : losses) {
         if (!moment_start || each.at - *moment_start > moment_length) {
             moment_start = each.at;
             moment_weight = 0;
@@ -138,25 +136,72 @@
     return result;
 }
 
+// A quarantined segment explains losses of the segments that precede it, and of those that were
+// there at fewer losses.
+std::vector<segment_quarantine::loss>
+segment_quarantine::unexplained_losses(const segment_state& state) const {
+    auto result = state.losses;
+    for (const auto& [segment, other] : this->segments) {
+        if (!other.is_quarantined)
+            continue;
+        if (other.depth <= state.depth && other.losses.size() < state.losses.size())
+            continue;
+        std::erase_if(result, [&other = other](const loss& each) {
+            return has_loss(other.losses, each.incarnation_hash);
+        });
+    }
+    return result;
+}
+
 // Quarantines the segment that explains most losses, the deepest of several, until the losses that
-// remain blame no other one. So a segment that precedes a harmful one in its prompts is spared.
+// remain blame no other one.
 void segment_quarantine::quarantine_suspects(helpers::time_point now) {
-    while (true) {
-        auto worst = this->segments.end();
-        std::tuple<std::uint32_t, std::uint8_t> most{quarantine_score, 0};
-        for (auto each = this->segments.begin(); each != this->segments.end(); ++each) {
-            if (each->second.is_quarantined)
-                continue;
-            const std::tuple rank{this->weigh(each->second, true).score, each->second.depth};
-            if (rank < most)
-                continue;
-            most = rank;
-            worst = each;
-        }
-        if (worst == this->segments.end())
-            return;
-        this->quarantine(worst->first, worst->second, now);
+    for (auto suspect = this->find_suspect(); suspect != this->segments.end();
+         suspect = this->find_suspect())
+        this->quarantine(suspect->first, suspect->second, now);
+}
+
+bool segment_quarantine::has_loss(const std::vector<loss>& losses, std::uint32_t incarnation_hash) {
+    return std::any_of(losses.begin(), losses.end(), [incarnation_hash](const loss& each) {
+        return each.incarnation_hash == incarnation_hash;
+    });
+}
+
+segment_quarantine::segment_map::iterator segment_quarantine::find_suspect() {
+    auto worst = this->segments.end();
+    std::tuple<std::uint32_t, std::uint8_t> most{quarantine_score, 0};
+    for (auto each = this->segments.begin(); each != this->segments.end(); ++each) {
+        const auto& state = each->second;
+        if (state.is_quarantined || weigh(state.losses).score < quarantine_score)
+            continue;
+        const auto unexplained = this->unexplained_losses(state);
+        const std::tuple rank{weigh(unexplained).score, state.depth};
+        if (rank < most || this->has_likelier_suspect(state, unexplained))
+            continue;
+        most = rank;
+        worst = each;
     }
+    return worst;
+}
+
+// Whether another segment was there at most of the losses and is the likelier cause. A harmful
+// segment is followed by different ones, so a deeper segment comes before one that precedes it. Of
+// segments at the same depth, the one with more losses does.
+bool segment_quarantine::has_likelier_suspect(const segment_state& suspect,
+                                              const std::vector<loss>& unexplained) const {
+    return std::any_of(this->segments.begin(), this->segments.end(), [&](const auto& entry) {
+        const auto& other = entry.second;
+        const bool is_likelier =
+            other.depth > suspect.depth ||
+            (other.depth == suspect.depth && other.losses.size() > suspect.losses.size());
+        if (other.is_quarantined || !is_likelier)
+            return false;
+        const auto common =
+            std::count_if(unexplained.begin(), unexplained.end(), [&other](const loss& each) {
+                return has_loss(other.losses, each.incarnation_hash);
+            });
+        return 2 * static_cast<std::size_t>(common) > unexplained.size();
+    });
 }
 
 void segment_quarantine::quarantine(std::uint64_t segment, segment_state& state,
@@ -164,25 +209,16 @@
     state.is_quarantined = true;
     state.quarantined_at = now;
     state.changed_at = now;
-    if (this->explained.size() > max_explained)
-        this->explained.clear();
-    for (const auto& each : state.losses)
-        this->explained.insert(each.incarnation_hash);
-    this->transitions.push_back({segment, true, this->moments_of(state)});
-}
-
-std::size_t segment_quarantine::moments_of(const segment_state& state) const {
-    return std::max(state.stated_moments, this->weigh(state, false).moments);
+    this->transitions.push_back({segment, true, weigh(state.losses).moments});
 }
 
-segment_evidence segment_quarantine::describe(std::uint64_t segment,
-                                              const segment_state& state) const {
+segment_evidence segment_quarantine::describe(std::uint64_t segment, const segment_state& state) {
     segment_evidence result;
     result.segment = segment;
     result.generation = state.generation;
     result.is_quarantined = state.is_quarantined;
     result.depth = state.depth;
-    result.moments = static_cast<std::uint8_t>(std::min(this->moments_of(state), max_losses));
+    result.failed_trials = state.failed_trials;
     return result;
 }
 
@@ -190,31 +226,38 @@
     const auto found = this->segments.find(segment);
     if (found == this->segments.end())
         return std::nullopt;
-    return this->describe(segment, found->second);
+    return describe(segment, found->second);
 }
 
 std::vector<segment_evidence> segment_quarantine::quarantined() const {
     std::vector<segment_evidence> result;
     for (const auto& [segment, state] : this->segments)
         if (state.is_quarantined)
-            result.push_back(this->describe(segment, state));
+            result.push_back(describe(segment, state));
     return result;
 }
 
 segment_quarantine::verdict segment_quarantine::check(const placement::prompt& prompt,
                                                       helpers::time_point now) {
-    std::vector<segment_state*> tried;
+    if (!this->is_quarantined(prompt))
+        return verdict::admitted;
+    segment_state* tried = nullptr;
     for (const auto& each : shared_segments(prompt)) {
         const auto found = this->segments.find(each.id);
-        if (found == this->segments.end() || !found->second.is_quarantined)
+        if (found == this->segments.end())
             continue;
-        if (!this->may_try(each.id, found->second, now))
+        auto& state = found->second;
+        // A deeper segment that is under suspicion would confuse the result.
+        if (tried != nullptr && !state.losses.empty())
             return verdict::quarantined;
-        tried.push_back(&found->second);
+        if (!state.is_quarantined)
+            continue;
+        if (!this->may_try(each.id, state, now))
+            return verdict::quarantined;
+        tried = &state;
     }
-    for (auto* state : tried)
-        state->trial_at = now;
-    return tried.empty() ? verdict::admitted : verdict::trial;
+    tried->trial_at = now;
+    return verdict::trial;
 }
 
 bool segment_quarantine::is_quarantined(const placement::prompt& prompt) const {
@@ -227,11 +270,8 @@
 
 bool segment_quarantine::may_try(std::uint64_t segment, const segment_state& state,
                                  helpers::time_point now) const {
-    const auto moments = this->moments_of(state);
-    const auto steps =
-        std::min(moments - std::min(moments, losses_before_first_trial), max_wait_steps);
     auto wait = first_trial_wait;
-    for (std::size_t i = 0; i < steps; ++i)
+    for (std::uint8_t i = 0; i < state.failed_trials; ++i)
         wait *= trial_wait_factor;
     const auto last_loss = state.losses.empty() ? state.quarantined_at : state.losses.back().at;
     const auto since_wait = now - last_loss - wait;
@@ -247,35 +287,44 @@
 }
 
 segment_evidence_list segment_quarantine::evidence(helpers::time_point now) const {
+    // Quarantined segments first, then those under the strongest suspicion.
+    using rank = std::tuple<bool, std::uint32_t, helpers::time_point>;
+    std::vector<std::pair<rank, segment_map::const_iterator>> sent;
+    for (auto each = this->segments.begin(); each != this->segments.end(); ++each) {
+        const auto& state = each->second;
+        const auto losses = weigh(state.losses);
+        const bool is_news = now - state.changed_at <= news_lifetime;
+        if (state.is_quarantined || is_news || losses.moments >= always_sent_moments)
+            sent.push_back({{state.is_quarantined, losses.score, state.changed_at}, each});
+    }
+    std::sort(sent.begin(), sent.end(),
+              [](const auto& a, const auto& b) { return a.first > b.first; });
     segment_evidence_list result;
-    const auto append = [&](bool is_urgent) {
-        for (const auto& [segment, state] : this->segments) {
-            const bool always_sent =
-                state.is_quarantined || this->weigh(state, true).moments >= always_sent_moments;
-            if (always_sent != is_urgent || result.size() >= max_sent_evidence)
-                continue;
-            if (!always_sent && now - state.changed_at > news_lifetime)
-                continue;
-            auto common = this->describe(segment, state);
-            if (state.losses.empty())
-                result.push_back(common);
-            const bool is_news = now - state.changed_at <= news_lifetime;
-            const auto sent = state.is_quarantined && !is_news ? 1 : max_sent_losses;
-            const auto skipped = state.losses.size() - std::min(state.losses.size(), sent);
-            for (const auto& each : std::span(state.losses).subspan(skipped)) {
-                common.incarnation_hash = each.incarnation_hash;
-                common.had_begun = each.had_begun;
-                common.age = now - each.at;
-                result.push_back(common);
-            }
-        }
-    };
-    append(true);
-    append(false);
+    for (const auto& [order, each] : sent) {
+        if (result.size() >= max_sent_evidence)
+            break;
+        this->append_evidence(each->first, each->second, now, result);
+    }
     result.resize(std::min(result.size(), max_sent_evidence));
     return result;
 }
 
+void segment_quarantine::append_evidence(std::uint64_t segment, const segment_state& state,
+                                         helpers::time_point now, segment_evidence_list& into) {
+    auto entry = describe(segment, state);
+    if (state.losses.empty())
+        into.push_back(entry);
+    const bool is_news = now - state.changed_at <= news_lifetime;
+    const auto sent = state.is_quarantined && !is_news ? 1 : max_sent_losses;
+    const auto skipped = state.losses.size() - std::min(state.losses.size(), sent);
+    for (const auto& each : std::span(state.losses).subspan(skipped)) {
+        entry.incarnation_hash = each.incarnation_hash;
+        entry.had_begun = each.had_begun;
+        entry.age = now - each.at;
+        into.push_back(entry);
+    }
+}
+
 void segment_quarantine::merge(std::span<const segment_evidence> received,
                                helpers::time_point now) {
     if (received.empty())
@@ -306,7 +355,7 @@
         state.generation = received.generation;
     }
     state.depth = std::max(state.depth, received.depth);
-    state.stated_moments = std::max<std::size_t>(state.stated_moments, received.moments);
+    state.failed_trials = std::max(state.failed_trials, received.failed_trials);
     const bool changed = received.incarnation_hash != 0 && this->record_loss(state, stated, now);
     if (received.is_quarantined && !state.is_quarantined)
         this->quarantine(received.segment, state, now);
--- a/src/admission/segment_quarantine.hpp
+++ b/src/admission/segment_quarantine.hpp
@@ -11,7 +11,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -28,8 +27,8 @@
     std::uint32_t incarnation_hash = 0;
     // Number of segments before this one in the prompt.
     std::uint8_t depth = 0;
-    // Moments at which targets were lost, as far as the sender knows.
-    std::uint8_t moments = 0;
+    // Trials of the quarantined segment that cost a target.
+    std::uint8_t failed_trials = 0;
     // The response had begun, but was not under way.
     bool had_begun = false;
     // Time since the loss.
@@ -44,7 +43,8 @@
 public:
     enum class verdict : std::uint8_t {
         admitted,
-        // Admitted to find out whether a quarantined segment is still harmful.
+        // Admitted to find out whether a quarantined segment is still harmful. No deeper segment of
+        // the prompt is under suspicion.
         trial,
         quarantined,
     };
@@ -63,8 +63,9 @@
     void set_members(std::vector<std::string> names) { this->members = std::move(names); }
 
     // A target was lost while it processed the prompt and its response was not under way.
+    // `admitted_as` is what check() returned for the request.
     void on_target_lost(const placement::prompt& prompt, std::uint32_t incarnation_hash,
-                        bool had_begun, helpers::time_point now);
+                        bool had_begun, verdict admitted_as, helpers::time_point now);
     // A target has got past the start of its response to the prompt, which clears its segments.
     void on_under_way(const placement::prompt& prompt, helpers::time_point now);
 
@@ -72,8 +73,8 @@
     verdict check(const placement::prompt& prompt, helpers::time_point now);
     bool is_quarantined(const placement::prompt& prompt) const;
 
-    // Evidence for the other gateways: all of quarantined segments and of those that lost several
-    // targets, and what has changed recently. Bounded by max_sent_evidence.
+    // Evidence for the other gateways: quarantined segments, then those that lost several targets
+    // and what has changed recently, strongest suspicion first. Bounded by max_sent_evidence.
     segment_evidence_list evidence(helpers::time_point now) const;
     void merge(std::span<const segment_evidence> received, helpers::time_point now);
 
@@ -86,7 +87,7 @@
     std::vector<transition> take_transitions();
     std::size_t quarantined_count() const;
 
-    static constexpr std::size_t max_sent_evidence = 64;
+    static constexpr std::size_t max_sent_evidence = 96;
 
 private:
     struct loss {
@@ -101,8 +102,7 @@
         bool is_quarantined = false;
         // Invariant: one entry for each incarnation, ordered by time, at most max_losses.
         std::vector<loss> losses;
-        // The number of moments that a peer or the store has stated.
-        std::size_t stated_moments = 0;
+        std::uint8_t failed_trials = 0;
         helpers::time_point quarantined_at{};
         helpers::time_point changed_at{};
         std::optional<helpers::time_point> cleared_at;
@@ -122,18 +122,22 @@
     void clear(std::uint64_t segment, segment_state& state, helpers::time_point now);
     void quarantine(std::uint64_t segment, segment_state& state, helpers::time_point now);
     void quarantine_suspects(helpers::time_point now);
-    weight weigh(const segment_state& state, bool ignore_explained) const;
-    std::size_t moments_of(const segment_state& state) const;
-    segment_evidence describe(std::uint64_t segment, const segment_state& state) const;
+    segment_map::iterator find_suspect();
+    bool has_likelier_suspect(const segment_state& suspect,
+                              const std::vector<loss>& unexplained) const;
+    static bool has_loss(const std::vector<loss>& losses, std::uint32_t incarnation_hash);
+    static weight weigh(const std::vector<loss>& losses);
+    // The losses for which no quarantined segment is the likelier cause.
+    std::vector<loss> unexplained_losses(const segment_state& state) const;
+    static void append_evidence(std::uint64_t segment, const segment_state& state,
+                                helpers::time_point now, segment_evidence_list& into);
+    static segment_evidence describe(std::uint64_t segment, const segment_state& state);
     bool may_try(std::uint64_t segment, const segment_state& state, helpers::time_point now) const;
     void evict(helpers::time_point now);
 
     std::string self;
     std::vector<std::string> members;
     segment_map segments;
-    // Targets whose loss is explained by a quarantined segment. The other segments of the requests
-    // that were there are not blamed for it.
-    std::set<std::uint32_t> explained;
     std::vector<transition> transitions;
 };
 
--- a/src/gateway/object_codec.hpp
+++ b/src/gateway/object_codec.hpp
@@ -24,7 +24,8 @@
     virtual std::optional<exchange::member>
     read_member(std::string_view name, std::string_view content, kernel::error& reason) const = 0;
     virtual std::string write_member(const exchange::member& self) const = 0;
-    // The state of a prompt segment: generation, whether it is quarantined, depth and moments.
+    // The state of a prompt segment: generation, whether it is quarantined, depth and failed
+    // trials.
     virtual std::optional<admission::segment_evidence>
     read_segment(std::string_view name, std::string_view content, kernel::error& reason) const = 0;
     virtual std::string write_segment(const admission::segment_evidence& state) const = 0;
--- a/src/gateway/prompt_guard.cpp
+++ b/src/gateway/prompt_guard.cpp
@@ -21,8 +21,9 @@
 }
 
 void prompt_guard::on_target_lost(const placement::prompt& prompt, std::uint32_t incarnation_hash,
-                                  bool had_begun) {
-    this->quarantine.on_target_lost(prompt, incarnation_hash, had_begun, this->loop.time().now());
+                                  bool had_begun, verdict admitted_as) {
+    this->quarantine.on_target_lost(prompt, incarnation_hash, had_begun, admitted_as,
+                                    this->loop.time().now());
     this->log_transitions();
 }
 
--- a/src/gateway/prompt_guard.hpp
+++ b/src/gateway/prompt_guard.hpp
@@ -22,7 +22,7 @@
 
     // The connection to the target was lost before the response was under way.
     void on_target_lost(const placement::prompt& prompt, std::uint32_t incarnation_hash,
-                        bool had_begun);
+                        bool had_begun, verdict admitted_as);
     // The response has got past its start.
     void on_under_way(const placement::prompt& prompt);
 
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -149,9 +149,8 @@
 }
 
 bool proxied_request::admit_prompt() {
-    const auto verdict = this->services.prompts.check(this->metadata.prompt);
-    this->is_prompt_trial = verdict == prompt_guard::verdict::trial;
-    if (verdict != prompt_guard::verdict::quarantined)
+    this->prompt_verdict = this->services.prompts.check(this->metadata.prompt);
+    if (this->prompt_verdict != prompt_guard::verdict::quarantined)
         return true;
     this->finish_without_response(
         this->may_have_run ? attempt_outcome::maybe_run : attempt_outcome::not_run,
@@ -262,7 +261,8 @@
         return false;
     }
     // The segment may have been quarantined while the request was queued.
-    if (!this->is_prompt_trial && this->services.prompts.is_quarantined(this->metadata.prompt)) {
+    if (this->prompt_verdict != prompt_guard::verdict::trial &&
+        this->services.prompts.is_quarantined(this->metadata.prompt)) {
         this->defer([this] {
             this->close_attempt(attempt_outcome::not_run,
                                 {error_kind::prompt_quarantined, "the prompt is quarantined"},
@@ -492,9 +492,9 @@
 void proxied_request::report_target_lost() {
     if (this->progress() == response_progress::under_way || !this->current_assignment)
         return;
-    this->services.prompts.on_target_lost(this->metadata.prompt,
-                                          this->current_assignment->target->incarnation_hash,
-                                          this->progress() == response_progress::begun);
+    this->services.prompts.on_target_lost(
+        this->metadata.prompt, this->current_assignment->target->incarnation_hash,
+        this->progress() == response_progress::begun, this->prompt_verdict);
 }
 
 void proxied_request::report_under_way() {
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -172,8 +172,7 @@
     bool has_head = false;
     // The response to the current attempt has got past its start.
     bool was_under_way = false;
-    // The request may be sent although its prompt is quarantined.
-    bool is_prompt_trial = false;
+    prompt_guard::verdict prompt_verdict = prompt_guard::verdict::admitted;
     // Events of the earlier attempts.
     std::uint64_t earlier_events = 0;
     // The current attempt has reached its target.
--- a/src/wire/exchange_codec.cpp
+++ b/src/wire/exchange_codec.cpp
@@ -58,7 +58,7 @@
     result.reserve(evidence.size());
     for (const auto& each : evidence)
         result.emplace_back(each.segment, each.incarnation_hash, to_ms(each.age), each.generation,
-                            each.depth, each.moments, each.is_quarantined, each.had_begun);
+                            each.depth, each.failed_trials, each.is_quarantined, each.had_begun);
     return result;
 }
 
@@ -71,7 +71,7 @@
     result.reserve(evidence->size());
     for (const auto* each : *evidence)
         result.push_back({each->segment(), each->generation(), each->is_quarantined(),
-                          each->target(), each->depth(), each->moments(), each->had_begun(),
+                          each->target(), each->depth(), each->failed_trials(), each->had_begun(),
                           std::chrono::milliseconds(each->age_ms())});
     return result;
 }
