--- /dev/null
+++ b/tests/gateway/test_limited_targets.cpp
@@ -0,0 +1,87 @@
+// Tests of targets that name a limit of the requests that they take.
+#include "tests/gateway/gateway_harness.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+using namespace samphirespool;
+using namespace std::chrono_literals;
+using tests::gateway_harness;
+
+namespace {
+
+constexpr auto judged_window = 4s;
+// Time after a target first names its limit until the limit binds.
+constexpr auto stability_window = 3s;
+
+// Sends requests to targets, of which one names a limit in its responses, and records when it
+// received requests.
+class limited_target {
+public:
+    limited_target(gateway_harness& harness, std::string per_second)
+        : harness(harness), per_second(std::move(per_second)) {}
+
+    void run_for(helpers::duration time, helpers::duration interval) {
+        const auto end = this->harness.loop.time().now() + time;
+        while (this->harness.loop.time().now() < end) {
+            this->harness.send("/look/1");
+            this->respond();
+            this->harness.advance(interval);
+        }
+    }
+
+    // The most requests that the target received in any window that begins after `from`.
+    std::size_t most_in_window(helpers::time_point from) const {
+        std::size_t most = 0;
+        for (const auto start : this->received)
+            if (start >= from)
+                most = std::max(most, static_cast<std::size_t>(std::count_if(
+                                          this->received.begin(), this->received.end(),
+                                          [start](helpers::time_point at) {
+                                              return at >= start && at < start + judged_window;
+                                          })));
+        return most;
+    }
+
+    std::string per_second;
+    std::string name = "t0";
+    std::vector<helpers::time_point> received;
+
+private:
+    void respond() {
+        while (this->processed < this->harness.call_count()) {
+            auto& call = *std::next(this->harness.targets.calls.begin(),
+                                    static_cast<std::ptrdiff_t>(this->processed++));
+            call.connect();
+            const bool is_limited = call.header("x-expected-target") == this->name;
+            if (is_limited)
+                this->received.push_back(this->harness.loop.time().now());
+            http::header_list headers;
+            if (is_limited && !this->per_second.empty())
+                headers.push_back({"x-target-limit", this->per_second});
+            call.head(200, headers);
+            call.body("ok");
+            call.listener->on_done();
+            this->harness.process_events();
+        }
+    }
+
+    gateway_harness& harness;
+    std::size_t processed = 0;
+};
+
+} // namespace
+
+// Guards against a target in need that gets as many requests as the others (day "capped").
+TEST_CASE("limited targets: a target gets no more requests than the limit that it names" *
+          doctest::should_fail()) {
+    gateway_harness harness;
+    limited_target target(harness, "2.5");
+    const auto start = harness.loop.time().now();
+    target.run_for(20s, 20ms);
+    CHECK(target.most_in_window(start + stability_window) <= 1.5 * 2.5 * 4 + 5);
+    CHECK_FALSE(target.received.empty());
+}
