Keep to the limits that targets name

Change: admission/target_limits holds what each target said last. A limit is divided among the gateways by the member list, over windows of four seconds, with the rest to those that rank first for the target; the dispatcher skips a target whose share is used up. Gateways tell each other of limits and of their end, so that in a large fleet a target in need doesn't have to tell each one. Unreadable values change nothing and are logged.

--- a/src/exchange/exchange_node.cpp
+++ b/src/exchange/exchange_node.cpp
@@ -294,6 +294,8 @@
     message.loads = std::move(loads);
     if (this->own_evidence)
         message.evidence = this->own_evidence();
+    if (this->own_limits)
+        message.limits = this->own_limits();
     return message;
 }
 
@@ -302,6 +304,11 @@
         this->evidence_handler(received);
 }
 
+void exchange_node::merge_limits(const admission::target_limit_list& received) const {
+    if (!received.empty() && this->limits_handler)
+        this->limits_handler(received);
+}
+
 void exchange_node::report_to_hub() {
     if (!this->own_counts || this->is_awaiting_reply)
         return;
@@ -337,6 +344,7 @@
     if (message.wants_updates)
         this->last_report_at = now;
     this->merge_evidence(message.evidence);
+    this->merge_limits(message.limits);
     const auto* sender = this->find_member(from);
     const auto name = sender != nullptr ? sender->name : helpers::to_string(from);
     const auto data_centre = sender != nullptr ? sender->data_centre : std::string();
@@ -358,6 +366,8 @@
     result.round = message.round;
     if (this->own_evidence)
         result.evidence = this->own_evidence();
+    if (this->own_limits)
+        result.limits = this->own_limits();
     if (message.for_group) {
         result.loads = this->aggregator.group_total(now);
         // Older updates are of no use to a hub.
@@ -411,6 +421,7 @@
         return;
     this->suspicions.erase(sender->name);
     this->merge_evidence(message.evidence);
+    this->merge_limits(message.limits);
     const bool is_from_other_group =
         this->groups.size() > 1 && sender->data_centre != this->own_group;
     if (is_from_other_group && this->is_hub())
--- a/src/exchange/exchange_node.hpp
+++ b/src/exchange/exchange_node.hpp
@@ -92,6 +92,14 @@
         this->evidence_handler = std::move(handler);
     }
 
+    // Limits that targets have named, likewise.
+    void set_limit_source(std::function<admission::target_limit_list()> source) {
+        this->own_limits = std::move(source);
+    }
+    void on_limits(std::function<void(const admission::target_limit_list&)> handler) {
+        this->limits_handler = std::move(handler);
+    }
+
     // The handler is called on the hub, with the name of a member that has stopped for good.
     void on_member_absent(std::function<void(const std::string& name)> handler) {
         this->absent_handler = std::move(handler);
@@ -144,6 +152,7 @@
     void receive(const helpers::endpoint& from, reply message);
     void apply_updates(std::vector<feed_update> updates);
     void merge_evidence(const admission::segment_evidence_list& received) const;
+    void merge_limits(const admission::target_limit_list& received) const;
     reply make_reply(const report& message, const std::string& data_centre,
                      helpers::time_point now);
     std::vector<feed_update> make_updates(const report& message, helpers::time_point now);
@@ -170,6 +179,8 @@
     peer_counts_callback peer_counts_handler;
     std::function<admission::segment_evidence_list()> own_evidence;
     std::function<void(const admission::segment_evidence_list&)> evidence_handler;
+    std::function<admission::target_limit_list()> own_limits;
+    std::function<void(const admission::target_limit_list&)> limits_handler;
     std::array<feed_log, feed_count> logs;
     load_aggregator aggregator;
     struct cached_totals {
--- a/src/exchange/message.hpp
+++ b/src/exchange/message.hpp
@@ -1,9 +1,11 @@
 // Messages of the load exchange between gateways: requests in flight and recent results per target,
-// the feed updates that a gateway has read from the store, and evidence against prompt segments.
+// the feed updates that a gateway has read from the store, evidence against prompt
+// segments, and the limits that targets have named.
 #pragma once
 
 #include "admission/fleet_outliers.hpp"
 #include "admission/segment_quarantine.hpp"
+#include "admission/target_limits.hpp"
 #include "discovery/feed.hpp"
 #include "exchange/feed_log.hpp"
 #include "helpers/time.hpp"
@@ -46,6 +48,7 @@
     std::size_t known_feeds = feed_count;
     target_counts loads;
     admission::segment_evidence_list evidence;
+    admission::target_limit_list limits;
 };
 
 // Changes of one feed since the revision that a report stated.
@@ -69,6 +72,7 @@
     // Upper bound of the requests in flight on any target that is not listed.
     std::uint32_t max_unlisted_in_flight = 0;
     admission::segment_evidence_list evidence;
+    admission::target_limit_list limits;
 };
 
 } // namespace samphirespool::exchange
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -35,8 +35,10 @@
       catalog(catalog),
       settings(settings),
       budget(settings.retry_limits),
-      cold(settings.own_name, settings.cold) {
+      cold(settings.own_name, settings.cold),
+      limits(settings.own_name) {
     this->cold.set_members({settings.own_name});
+    this->limits.set_members({settings.own_name});
 }
 
 dispatcher::~dispatcher() {
@@ -46,6 +48,7 @@
 void dispatcher::set_members(std::vector<std::string> names) {
     this->members = std::max<std::size_t>(1, names.size());
     this->budget.set_fleet_size(this->members);
+    this->limits.set_members(names);
     this->cold.set_members(std::move(names));
 }
 
@@ -74,6 +77,8 @@
     auto& load = this->load_of(target);
     if (load.is_ejected(now) || (load.is_suspected(now) && !with_suspected))
         return false;
+    if (!this->limits.may_send(target.incarnation_hash, now))
+        return false;
     if (now >= target.cold_until)
         return true;
     const auto* service =
@@ -148,6 +153,7 @@
         assigned.prefix_holder = this->address_of(request.service, *chosen->prefix_holder);
     const auto now = this->loop.time().now();
     this->load_of(*assigned.target).on_sent(assigned.prompt_tokens, now);
+    this->limits.on_sent(assigned.target->incarnation_hash, now);
     ++this->state_of(request.service).recent_assignments.current(now);
     request.on_assigned(std::move(assigned));
     return assign_outcome::assigned;
@@ -176,6 +182,30 @@
     mean_peer_load += report_weight * (load.peer_requests(mean_peer_load, now) - mean_peer_load);
 }
 
+void dispatcher::on_limit(const assignment& attempt, std::optional<double> per_second) {
+    const auto& target = *attempt.target;
+    if (this->limits.on_response(target.incarnation_hash, per_second, this->loop.time().now()))
+        this->log_limit(target.registration.name, per_second, helpers::duration::zero());
+}
+
+void dispatcher::merge_limits(const admission::target_limit_list& received) {
+    for (const auto& changed : this->limits.merge(received, this->loop.time().now()))
+        for (const auto& target : this->catalog.all_targets())
+            if (target->incarnation_hash == changed.incarnation_hash)
+                this->log_limit(target->registration.name, changed.per_second, changed.age);
+}
+
+// An age above zero means that another gateway heard it.
+void dispatcher::log_limit(const std::string& target, std::optional<double> per_second,
+                           helpers::duration age) const {
+    this->events.write(per_second ? kernel::severity::warning : kernel::severity::info,
+                       per_second ? "target.limited" : "target.limit_ended", std::nullopt,
+                       {{"target", target},
+                        {"per_second", per_second.value_or(0)},
+                        {"age_ms", helpers::whole_milliseconds(age)},
+                        {"members", std::uint64_t{this->members}}});
+}
+
 void dispatcher::on_prompt_processed(assignment& attempt) {
     if (!std::exchange(attempt.prompt_pending, false))
         return;
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "admission/fair_start_tags.hpp"
 #include "admission/fleet_share.hpp"
 #include "admission/sliding_counts.hpp"
+#include "admission/target_limits.hpp"
 #include "admission/target_load.hpp"
 #include "discovery/target_catalog.hpp"
 #include "exchange/message.hpp"
@@ -93,6 +94,8 @@
     // Events of the attempts that the dispatcher assigned.
 
     void on_occupancy_report(const assignment& attempt, const admission::occupancy_report& report);
+    // The target has responded; `per_second` is empty if the response names no limit.
+    void on_limit(const assignment& attempt, std::optional<double> per_second);
     // The response has started, or the attempt has finished. Only the first call has an effect.
     void on_prompt_processed(assignment& attempt);
     // The target has not responded in time, which counts as a failure.
@@ -112,6 +115,13 @@
     void set_peer_counts(const exchange::target_counts& peer_counts,
                          std::uint32_t max_unlisted_in_flight, helpers::duration interval);
 
+    // Limits that targets have named, for the other gateways, and theirs.
+    admission::target_limit_list limit_announcements() const {
+        return this->limits.announcements(this->loop.time().now());
+    }
+    void merge_limits(const admission::target_limit_list& received);
+    std::size_t limited_targets() const { return this->limits.limited_count(); }
+
     admission::fleet_retry_budget& retry_budget() { return this->budget; }
 
     // Tries to assign the queued requests; called when targets have changed.
@@ -163,6 +173,8 @@
     placement::choice_target candidate_for(const discovery::tracked_target& target,
                                            double mean_peer_load, helpers::time_point now);
     admission::target_load& load_of(const discovery::tracked_target& target);
+    void log_limit(const std::string& target, std::optional<double> per_second,
+                   helpers::duration age) const;
     void record_failure(const discovery::tracked_target& target);
     void record_success(const discovery::tracked_target& target);
     using counts_by_incarnation = std::unordered_map<std::uint32_t, exchange::target_count>;
@@ -181,6 +193,7 @@
     dispatch_settings settings;
     admission::fleet_retry_budget budget;
     admission::cold_target_share cold;
+    admission::target_limits limits;
     std::shared_ptr<const routing::route_table> table;
     std::unordered_map<helpers::service_id, service_state> services;
     std::unordered_map<std::uint64_t, admission::target_load> loads;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -132,6 +132,9 @@
         [this](const auto& received) { this->prompts.merge(received); });
     this->load_exchange.on_member_absent(
         [this](const std::string& name) { this->fleet.remove_member(name); });
+    this->load_exchange.set_limit_source([this] { return this->dispatch.limit_announcements(); });
+    this->load_exchange.on_limits(
+        [this](const auto& received) { this->dispatch.merge_limits(received); });
     this->load_exchange.set_own_counts_source([this] { return this->dispatch.own_counts(); });
     this->load_exchange.on_peer_counts([this](const auto& peer_counts,
                                               std::uint32_t max_unlisted_in_flight,
@@ -173,6 +176,9 @@
     this->metric_registry.watch_gauge(
         {"quarantined_segments", "Prompt segments that are quarantined."},
         [this] { return static_cast<double>(this->prompts.quarantined_segments()); });
+    this->metric_registry.watch_gauge(
+        {"limited_targets", "Targets that name a limit of the requests that they take."},
+        [this] { return static_cast<double>(this->dispatch.limited_targets()); });
     this->metric_registry.watch_gauge(
         {"requests_waiting", "Requests that are queued for a target."},
         [this] { return static_cast<double>(this->dispatch.queued()); });
--- a/src/gateway/header_names.hpp
+++ b/src/gateway/header_names.hpp
@@ -26,6 +26,9 @@
     std::string expected_target = "x-expected-target";
     // Set in responses: "running requests,queued requests,slots".
     std::string target_load = "x-target-load";
+    // Set in responses of a target in need: requests per second that it takes from all gateways
+    // together, as a decimal number, for as long as its responses have it.
+    std::string target_limit = "x-target-limit";
     // Set in rejections by a target: the request was not executed.
     std::string not_run = "x-not-run";
     // Priority of the request, from 0 (most urgent) to 9.
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -52,6 +52,7 @@
 }
 
 constexpr std::size_t max_logged_segments = 8;
+constexpr std::size_t max_logged_value = 32;
 
 // The ids of the first segments of a prompt, in hexadecimal and separated by commas.
 std::string segment_list(const placement::prompt& from) {
@@ -313,6 +314,20 @@
             this->services.dispatch.on_occupancy_report(*this->current_assignment, *report);
 }
 
+void proxied_request::read_target_limit(const http::header_list& headers) {
+    const auto text = http::find_header(headers, this->services.names.target_limit);
+    const auto per_second = text ? admission::parse_request_rate(*text) : std::nullopt;
+    if (!text || per_second) {
+        this->services.dispatch.on_limit(*this->current_assignment, per_second);
+        return;
+    }
+    // What the target named before stays in force.
+    this->services.events.write(kernel::severity::warning, "target.limit_rejected", std::nullopt,
+                                {{"request_id", this->metadata.id},
+                                 {"target", this->last_target_name},
+                                 {"value", std::string(text->substr(0, max_logged_value))}});
+}
+
 void proxied_request::on_head(int response_status, const http::header_list& headers) {
     const auto& names = this->services.names;
     this->has_head = true;
@@ -324,6 +339,7 @@
             {error_kind::target_unreachable, "a target of another name responded at the address"});
         return;
     }
+    this->read_target_limit(headers);
     if (http::find_header(headers, names.not_run)) {
         this->finish_attempt(attempt_outcome::not_run,
                              {error_kind::queue_full, "the target did not run the request"});
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -110,6 +110,7 @@
     // Whether a response echoes the id of this request.
     bool matches_request_id(const http::header_list& headers) const;
     void read_occupancy_report(const http::header_list& headers);
+    void read_target_limit(const http::header_list& headers);
     void begin_response();
     void forward_events(std::string_view events);
     void complete();
--- a/src/wire/exchange_codec.cpp
+++ b/src/wire/exchange_codec.cpp
@@ -4,12 +4,15 @@
 #include "wire/generated/exchange_generated.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace samphirespool::wire {
 
 namespace {
 
+// States in a message that a target names no limit any more.
+constexpr double no_limit = -1;
 // Feeds of the first release, which rejects reports with another number of revisions.
 constexpr std::size_t first_release_feeds = 4;
 // Longer ages are sent as this one.
@@ -76,6 +79,30 @@
     return result;
 }
 
+std::vector<fb::target_limit> to_wire(const admission::target_limit_list& limits) {
+    std::vector<fb::target_limit> result;
+    result.reserve(limits.size());
+    for (const auto& each : limits)
+        result.emplace_back(each.incarnation_hash, to_ms(each.age),
+                            static_cast<float>(each.per_second.value_or(no_limit)));
+    return result;
+}
+
+admission::target_limit_list from_wire(const flatbuffers::Vector<const fb::target_limit*>* limits) {
+    admission::target_limit_list result;
+    if (limits == nullptr)
+        return result;
+    result.reserve(limits->size());
+    for (const auto* each : *limits) {
+        auto& added = result.emplace_back();
+        added.incarnation_hash = each->target();
+        added.age = std::chrono::milliseconds(each->age_ms());
+        if (std::isfinite(each->per_second()) && each->per_second() >= 0)
+            added.per_second = each->per_second();
+    }
+    return result;
+}
+
 flatbuffers::Offset<fb::feed_news> write_update(flatbuffers::FlatBufferBuilder& builder,
                                                 const exchange::feed_update& update) {
     std::vector<flatbuffers::Offset<fb::feed_change>> changes;
@@ -101,9 +128,10 @@
     const auto later_at = builder.CreateVector(later);
     const auto loads_at = builder.CreateVectorOfStructs(to_wire(content.loads));
     const auto evidence_at = builder.CreateVectorOfStructs(to_wire(content.evidence));
+    const auto limits_at = builder.CreateVectorOfStructs(to_wire(content.limits));
     const auto report =
         fb::Createexchange_report(builder, content.round, content.for_group, revisions_at, loads_at,
-                                  !content.wants_updates, evidence_at, later_at);
+                                  !content.wants_updates, evidence_at, later_at, limits_at);
     builder.Finish(fb::Createexchange_message(builder, report));
 }
 
@@ -114,8 +142,10 @@
     const auto feeds_at = builder.CreateVector(feeds);
     const auto loads_at = builder.CreateVectorOfStructs(to_wire(content.loads));
     const auto evidence_at = builder.CreateVectorOfStructs(to_wire(content.evidence));
-    const auto reply = fb::Createexchange_answer(builder, content.round, feeds_at, loads_at,
-                                                 content.max_unlisted_in_flight, evidence_at);
+    const auto limits_at = builder.CreateVectorOfStructs(to_wire(content.limits));
+    const auto reply =
+        fb::Createexchange_answer(builder, content.round, feeds_at, loads_at,
+                                  content.max_unlisted_in_flight, evidence_at, limits_at);
     builder.Finish(fb::Createexchange_message(builder, 0, reply));
 }
 
@@ -159,6 +189,7 @@
                 result.revisions.at(result.known_feeds++) = revision;
     result.loads = from_wire(from.loads());
     result.evidence = from_wire(from.evidence());
+    result.limits = from_wire(from.limits());
     return result;
 }
 
@@ -168,6 +199,7 @@
     result.max_unlisted_in_flight = from.unlisted_at_most();
     result.loads = from_wire(from.loads());
     result.evidence = from_wire(from.evidence());
+    result.limits = from_wire(from.limits());
     if (from.feeds() == nullptr)
         return result;
     // A later release may have feeds that are unknown here.
--- a/tests/exchange/test_exchange_parts.cpp
+++ b/tests/exchange/test_exchange_parts.cpp
@@ -146,6 +146,7 @@
     report.revisions = {1, 2, 3, 4, 5};
     report.loads = {{7, 8, {9, 10}, {11, 12}}, {8, 100'000}};
     report.evidence = {{0xbad, 3, true, 17, 1, 5, true, 250ms}, {0xa1, 4}};
+    report.limits = {{7, 2.5, 40ms}, {8, std::nullopt, 1s}, {9, 0.0, 0ms}};
     const auto encoded = wire::encode_exchange(report);
     const auto decoded_message = wire::decode_exchange(encoded);
     REQUIRE(decoded_message);
@@ -155,6 +156,7 @@
     CHECK_FALSE(decoded.wants_updates);
     CHECK(decoded.revisions == report.revisions);
     CHECK(decoded.evidence == report.evidence);
+    CHECK(decoded.limits == report.limits);
     REQUIRE(decoded.loads.size() == 2);
     CHECK(decoded.loads[0] == report.loads[0]);
     CHECK(decoded.loads[1].in_flight == 65'535);
--- a/tests/gateway/test_limited_targets.cpp
+++ b/tests/gateway/test_limited_targets.cpp
@@ -76,8 +76,7 @@
 } // namespace
 
 // Guards against a target in need that gets as many requests as the others (day "capped").
-TEST_CASE("limited targets: a target gets no more requests than the limit that it names" *
-          doctest::should_fail()) {
+TEST_CASE("limited targets: a target gets no more requests than the limit that it names") {
     gateway_harness harness;
     limited_target target(harness, "2.5");
     const auto start = harness.loop.time().now();
@@ -85,3 +84,40 @@
     CHECK(target.most_in_window(start + stability_window) <= 1.5 * 2.5 * 4 + 5);
     CHECK_FALSE(target.received.empty());
 }
+
+// Guards against requests that wait for a limited target while others are free.
+TEST_CASE("limited targets: what a limited target does not take goes to the others at once") {
+    gateway_harness harness;
+    limited_target target(harness, "1");
+    target.run_for(10s, 20ms);
+    for (const auto& caller : harness.callers) {
+        CHECK(caller.response.status == 200);
+        CHECK(caller.is_finished);
+    }
+}
+
+// Guards against a limit that outlasts the responses that name it.
+TEST_CASE("limited targets: the limit ends with the first response that does not name it") {
+    gateway_harness harness;
+    limited_target target(harness, "2");
+    target.run_for(8s, 20ms);
+    REQUIRE(harness.events.last("target.limited") != nullptr);
+    target.per_second.clear();
+    target.run_for(8s, 20ms);
+    CHECK(harness.events.last("target.limit_ended") != nullptr);
+    CHECK(target.most_in_window(harness.loop.time().now() - 5s) > 40);
+}
+
+// Guards against an unreadable value that lifts a limit, or that fails the response.
+TEST_CASE("limited targets: an unreadable limit is logged and changes nothing") {
+    gateway_harness harness;
+    limited_target target(harness, "2.5");
+    const auto start = harness.loop.time().now();
+    target.run_for(4s, 20ms);
+    target.per_second = "2,5 a second";
+    target.run_for(12s, 20ms);
+    const auto* logged = harness.events.last("target.limit_rejected");
+    REQUIRE(logged != nullptr);
+    CHECK(logged->text("value") == "2,5 a second");
+    CHECK(target.most_in_window(start + stability_window) <= 1.5 * 2.5 * 4 + 5);
+}
