Bound what a target can send without ever completing a response

Callers' requests waited until their deadline while a target's bytes filled the gateway's memory: a head without end, interim responses without end, an event without its end. A chunk extension or trailers without end counted as progress. Change: 64 KiB before the final head, 256 KiB for an event; only body data counts as progress, and the idle limit starts with the head. Streams and responses that end with their connection have tests of their own.

--- a/src/gateway/event_splitter.hpp
+++ b/src/gateway/event_splitter.hpp
@@ -18,6 +18,8 @@
     // Drops the bytes of an incomplete event. Called before another response continues the stream.
     void discard_partial() { this->partial.clear(); }
 
+    // Bytes of the incomplete event.
+    std::size_t partial_bytes() const { return this->partial.size(); }
     // True if no bytes of an incomplete event are buffered.
     bool at_boundary() const { return this->partial.empty(); }
     std::optional<std::uint64_t> last_id() const { return this->last_event_id; }
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -35,6 +35,7 @@
 // Fraction (1/n) of an objective that may pass in the queue; the rest is for the target.
 constexpr int objective_queue_divisor = 2;
 constexpr std::size_t max_buffered_bytes = std::size_t{4} << 20;
+constexpr std::size_t max_event_bytes = std::size_t{256} << 10;
 constexpr std::size_t high_water_bytes = std::size_t{256} << 10;
 constexpr int status_misdirected = 421;
 constexpr int first_redirect = 300;
@@ -378,6 +379,9 @@
         return;
     }
     this->forward_events(this->splitter.append({data.data(), data.size()}));
+    if (this->splitter.partial_bytes() > max_event_bytes)
+        this->finish_attempt(attempt_outcome::maybe_run,
+                             {error_kind::target_failed, "an event exceeds 256 KiB"});
 }
 
 void proxied_request::forward_events(std::string_view events) {
--- a/src/http/h2o_call.cpp
+++ b/src/http/h2o_call.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// Of a response, including the interim responses before it.
+constexpr std::size_t max_head_bytes = std::size_t{64} << 10;
+
 helpers::duration or_default(helpers::duration requested, helpers::duration fallback) {
     return requested == helpers::duration::zero() ? fallback : requested;
 }
@@ -165,12 +168,20 @@
     if (error != nullptr)
         self.fail_before_head(kernel::error_kind::connection_lost,
                               "the connection ended before the answer");
+    else if (self.exceeds_head_limit(*socket))
+        self.fail_before_head(kernel::error_kind::target_failed, "the response head is too large");
     else if (has_malformed_head({socket->input->bytes, socket->input->size}))
         self.fail_before_head(kernel::error_kind::target_failed, "the response head is malformed");
     else
         self.h2o_head_reader(socket, nullptr);
 }
 
+bool h2o_call::exceeds_head_limit(const h2o_socket_t& socket) {
+    this->head_bytes += socket.bytes_read;
+    return this->head_bytes > max_head_bytes &&
+           !has_complete_head({socket.input->bytes, socket.input->size});
+}
+
 void h2o_call::fail_before_head(kernel::error_kind kind, std::string detail) {
     if (auto* cancelled_client = std::exchange(this->native, nullptr))
         h2o_http1client_cancel(cancelled_client);
@@ -190,6 +201,7 @@
     }
     self->current_phase = phase::reading_body;
     self->last_progress = self->loop.time().now();
+    self->start_timer(self->idle_timeout);
     header_list received;
     received.reserve(count);
     for (std::size_t i = 0; i < count; ++i)
@@ -252,9 +264,10 @@
 int h2o_call::on_body(h2o_http1client_t* native, const char* error) {
     auto* self = static_cast<h2o_call*>(native->data);
     callback_scope callback(*self);
-    self->last_progress = self->loop.time().now();
     auto* input = native->sock->input;
+    // Framing alone, such as a chunk extension, is no progress.
     if (input->size != 0) {
+        self->last_progress = self->loop.time().now();
         const auto size = input->size;
         self->listener.on_body({input->bytes, size});
         if (callback.call_destroyed)
--- a/src/http/h2o_call.hpp
+++ b/src/http/h2o_call.hpp
@@ -57,6 +57,8 @@
     void intercept_head();
     static void on_request_written(h2o_socket_t* socket, const char* error);
     static void on_head_readable(h2o_socket_t* socket, const char* error);
+    // Counts what was received before the final response head.
+    bool exceeds_head_limit(const h2o_socket_t& socket);
     void fail_before_head(kernel::error_kind kind, std::string detail);
     static h2o_call& call_of(h2o_socket_t* socket) {
         return *static_cast<h2o_call*>(static_cast<h2o_http1client_t*>(socket->data)->data);
@@ -91,7 +93,9 @@
     callback_scope* scope = nullptr;
     kernel::timer_id timer = 0;
     helpers::time_point started{};
+    // When body data was last received.
     helpers::time_point last_progress{};
+    std::size_t head_bytes = 0;
     bool paused = false;
     // Read callback of the socket while the call is paused.
     h2o_socket_cb paused_reader = nullptr;
--- a/src/http/response_head.cpp
+++ b/src/http/response_head.cpp
@@ -33,4 +33,17 @@
     return false;
 }
 
+bool has_complete_head(std::string_view received) {
+    constexpr std::string_view head_end = "\r\n\r\n";
+    constexpr std::string_view interim_start = "HTTP/1.1 1";
+    while (true) {
+        const auto end = received.find(head_end);
+        if (end == std::string_view::npos)
+            return false;
+        if (!received.starts_with(interim_start))
+            return true;
+        received.remove_prefix(end + head_end.size());
+    }
+}
+
 } // namespace samphirespool::http
--- a/src/http/response_head.hpp
+++ b/src/http/response_head.hpp
@@ -10,4 +10,7 @@
 // body.
 bool has_malformed_head(std::string_view received);
 
+// Returns whether the head of a response other than interim ones is complete.
+bool has_complete_head(std::string_view received);
+
 } // namespace samphirespool::http
--- a/tests/gateway/test_proxied_request.cpp
+++ b/tests/gateway/test_proxied_request.cpp
@@ -394,3 +394,43 @@
     CHECK(progress_after(true, "id: 1\n\nid: 2") == "begun");
     CHECK(progress_after(true, "id: 1\n\nid: 2\n\n") == "under_way");
 }
+
+// Guards against an event without end that fills the memory.
+TEST_CASE("gateway: a stream whose event does not end is broken off") {
+    gateway_harness harness;
+    auto& caller = harness.send("/write/1");
+    auto& call = harness.last_call();
+    call.connect();
+    call.head(200);
+    const std::string data(64 << 10, 'x');
+    int parts = 0;
+    while (!call.is_cancelled && parts < 1000) {
+        call.body(data);
+        harness.process_events();
+        ++parts;
+    }
+    CHECK(parts < 100);
+    CHECK(caller.response.status == 502);
+}
+
+// Guards against a body without a length that ends with its connection.
+TEST_CASE("gateway: a response without a length is whole if its connection ends in order") {
+    gateway_harness harness;
+    auto& caller = harness.send("/book/1");
+    auto& call = harness.last_call();
+    call.connect();
+    call.head(200);
+    call.body("all of it");
+    call.listener->on_done();
+    harness.process_events();
+    CHECK(caller.response.status == 200);
+    CHECK(caller.response.body == "all of it");
+    auto& broken = harness.send("/book/1");
+    auto& second = harness.last_call();
+    second.connect();
+    second.head(200);
+    second.body("a par");
+    second.fail(true);
+    harness.process_events();
+    CHECK(broken.response.status == 502);
+}
