--- a/tests/admission/test_segment_quarantine.cpp
+++ b/tests/admission/test_segment_quarantine.cpp
@@ -17,7 +17,7 @@
 constexpr std::uint64_t common = 0xa1;
 constexpr std::uint64_t bad = 0xbad;
 
-placement::prompt prompt_of(std::vector<std::uint64_t> shared) {
+placement::prompt prompt_of(const std::vector<std::uint64_t>& shared) {
     placement::prompt result;
     for (const auto id : shared)
         result.segments.push_back({id, 100});
@@ -122,6 +122,7 @@
 // Guards against gateways of which each sees too few losses.
 TEST_CASE("segment quarantine: gateways that each saw one loss find the segment together") {
     std::vector<quarantine_under_test> gateways;
+    gateways.reserve(5);
     for (int i = 0; i < 5; ++i)
         gateways.emplace_back("g" + std::to_string(i));
     const auto now = gateways.front().now;
