Segment quarantine: release segments that were read from the store; ignore losses that are too old to keep

A segment whose quarantine came from the store has no losses, so a successful trial did not clear it. Losses older than the 16 that are kept were taken up again with each message and counted as news.

--- a/src/admission/segment_quarantine.cpp
+++ b/src/admission/segment_quarantine.cpp
@@ -86,8 +86,11 @@
             return false;
         found->had_begun = true;
     } else {
-        if (state.losses.size() >= max_losses)
+        if (state.losses.size() >= max_losses) {
+            if (added.at <= state.losses.front().at)
+                return false;
             state.losses.erase(state.losses.begin());
+        }
         const auto place =
             std::upper_bound(state.losses.begin(), state.losses.end(), added.at,
                              [](helpers::time_point at, const loss& each) { return at < each.at; });
@@ -100,7 +103,8 @@
 void segment_quarantine::on_under_way(const placement::prompt& prompt, helpers::time_point now) {
     for (const auto& each : shared_segments(prompt))
         if (const auto found = this->segments.find(each.id);
-            found != this->segments.end() && !found->second.losses.empty())
+            found != this->segments.end() &&
+            (found->second.is_quarantined || !found->second.losses.empty()))
             this->clear(each.id, found->second, now);
 }
 
--- a/tests/admission/test_segment_quarantine.cpp
+++ b/tests/admission/test_segment_quarantine.cpp
@@ -247,3 +247,38 @@
     CHECK(sent.front().segment == bad);
     CHECK(quarantine.check(harmful, quarantine.now) == verdict::quarantined);
 }
+
+// Guards against a quarantine that was read from the store, without its losses, and never ends.
+TEST_CASE("segment quarantine: a successful trial releases a segment whose losses are not known") {
+    quarantine_under_test quarantine;
+    admission::segment_evidence listed;
+    listed.segment = bad;
+    listed.is_quarantined = true;
+    quarantine.merge(std::vector{listed}, quarantine.now);
+    CHECK(quarantine.check(harmful, quarantine.now) == verdict::quarantined);
+    quarantine.now += 10s;
+    REQUIRE(quarantine.check(harmful, quarantine.now) == verdict::trial);
+    quarantine.on_under_way(harmful, quarantine.now);
+    CHECK(quarantine.check(harmful, quarantine.now) == verdict::admitted);
+}
+
+// Guards against evidence that is exchanged without end once a segment has more losses than are
+// kept.
+TEST_CASE("segment quarantine: losses older than those that are kept change nothing") {
+    quarantine_under_test quarantine;
+    quarantine.lose(harmful, 1, 3);
+    const auto old = quarantine.evidence(quarantine.now);
+    const auto since = quarantine.now;
+    quarantine.lose(harmful, 4, 40);
+    quarantine.now += 1min;
+    for (int i = 0; i < 3; ++i) {
+        auto aged = old;
+        for (auto& each : aged)
+            each.age += quarantine.now - since;
+        quarantine.merge(aged, quarantine.now);
+    }
+    // Only the latest loss is sent, since nothing is news.
+    const auto sent = quarantine.evidence(quarantine.now);
+    CHECK(std::count_if(sent.begin(), sent.end(),
+                        [](const auto& each) { return each.segment == bad; }) == 1);
+}
