Quarantine registry: record a segment that is quarantined again after its release

The entry of the release had the same generation, so the new quarantine was not written and a restart of the fleet forgot it. A removed entry is no longer removed twice. The test failed before.

--- a/src/gateway/quarantine_registry.cpp
+++ b/src/gateway/quarantine_registry.cpp
@@ -65,7 +65,10 @@
     for (const auto& state : this->prompts.quarantined()) {
         const auto found = this->listed.find(state.segment);
         const bool exists = found != this->listed.end();
-        if (exists && found->second.state.generation >= state.generation)
+        const bool is_recorded = exists && found->second.state.is_quarantined &&
+                                 found->second.state.generation == state.generation;
+        const bool is_outdated = exists && found->second.state.generation > state.generation;
+        if (is_recorded || is_outdated)
             continue;
         this->write(state, exists);
         return true;
@@ -87,9 +90,12 @@
         if (entry.state.is_quarantined || now - entry.changed_at < released_lifetime)
             continue;
         this->is_calling = true;
-        this->call = this->store.remove(
-            discovery::collection::quarantine, helpers::to_hex(segment),
-            [this, id = segment](const auto& result) { this->on_finished(id, result); });
+        this->call = this->store.remove(discovery::collection::quarantine, helpers::to_hex(segment),
+                                        [this, id = segment](const auto& result) {
+                                            if (!std::holds_alternative<kernel::error>(result))
+                                                this->listed.erase(id);
+                                            this->on_finished(id, result);
+                                        });
         return true;
     }
     return false;
--- a/tests/gateway/test_quarantine_registry.cpp
+++ b/tests/gateway/test_quarantine_registry.cpp
@@ -138,3 +138,21 @@
     CHECK(hub.prompts.quarantined_segments() == 1);
     CHECK(hub.prompts.check(harmful) == verdict::quarantined);
 }
+
+// Guards against a segment that is quarantined anew, after a release, and not recorded.
+TEST_CASE(
+    "quarantine registry: a segment that crashes targets again after its release is recorded") {
+    store_content content;
+    guarded_gateway hub("g1");
+    hub.lose_targets(3);
+    REQUIRE(hub.execute_write(content));
+    hub.prompts.on_under_way(harmful);
+    hub.loop.advance(300ms);
+    REQUIRE(hub.execute_write(content));
+    hub.lose_targets(3);
+    CHECK(hub.prompts.check(harmful) == verdict::quarantined);
+    REQUIRE(hub.execute_write(content));
+    guarded_gateway restarted("g1");
+    restarted.registry.set_entries(content);
+    CHECK(restarted.prompts.check(harmful) == verdict::quarantined);
+}
