A stream that ends before its first event is broken off, not whole

Cause: a target that crashes after the head of a stream without a length looks like the end of an empty stream. The caller got a success without content, and the prompt counted as cleared, which would have kept a harmful segment in use. Change: status 200 and no event at all is a truncated response and a loss of the target; only a response with events, or a whole one that is no stream, clears a prompt.

--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -38,6 +38,7 @@
 constexpr std::size_t max_event_bytes = std::size_t{256} << 10;
 constexpr std::size_t high_water_bytes = std::size_t{256} << 10;
 constexpr int status_misdirected = 421;
+constexpr int status_ok = 200;
 constexpr int first_redirect = 300;
 constexpr int first_success = 200;
 
@@ -408,10 +409,14 @@
 }
 
 void proxied_request::on_done() {
-    if (this->is_event_stream && !this->splitter.at_boundary()) {
+    // A stream without a length ends with its connection, also if its target crashes.
+    const bool is_empty = this->status == status_ok && this->splitter.event_count() == 0;
+    if (this->is_event_stream && (!this->splitter.at_boundary() || is_empty)) {
         this->report_target_lost();
-        this->finish_attempt(attempt_outcome::maybe_run,
-                             {error_kind::answer_truncated, "the stream ended inside an event"});
+        this->finish_attempt(
+            attempt_outcome::maybe_run,
+            {error_kind::answer_truncated, is_empty ? "the stream ended before its first event"
+                                                    : "the stream ended inside an event"});
         return;
     }
     if (this->status >= first_server_error && !this->response_started) {
@@ -423,7 +428,8 @@
 }
 
 void proxied_request::complete() {
-    this->report_under_way();
+    if (!this->is_event_stream || this->splitter.event_count() > this->earlier_events)
+        this->report_under_way();
     this->release(attempt_result::succeeded);
     if (this->is_event_stream) {
         this->begin_response();
--- a/tests/gateway/test_crashing_prompts.cpp
+++ b/tests/gateway/test_crashing_prompts.cpp
@@ -166,3 +166,21 @@
     }
     CHECK(harness.prompts.quarantined_segments() == 1);
 }
+
+// Guards against a crash that looks like the end of an empty stream: it is no success, and clears
+// nothing.
+TEST_CASE(
+    "crashing prompts: a stream without a length that ends before its first event counts as a "
+    "loss") {
+    gateway_harness harness(target_count);
+    for (int i = 0; i < 3; ++i) {
+        auto& caller = harness.send("/write/1", {{"x-prompt-parts", "a1:100,bad:50,1:10"}});
+        auto& call = harness.last_call();
+        call.connect();
+        call.head(200);
+        call.listener->on_done();
+        harness.advance(200ms);
+        CHECK(caller.response.status == 502);
+    }
+    CHECK(harness.prompts.quarantined_segments() == 1);
+}
