Gateway: split the responses of targets from the attempts of a request

Functions are moved unchanged to proxied_request_response.cpp; two constants that both files need are in the class.

--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -1,10 +1,10 @@
-// Admission, attempts, responses and retries of one request.
+// Admission, attempts and retries of one request. The responses of targets are in
+// proxied_request_response.cpp.
 #include "gateway/proxied_request.hpp"
 
 #include "helpers/hex.hpp"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace samphirespool::gateway {
@@ -25,36 +25,14 @@
 // A target that has not responded within this multiple of the route's objective is reported as
 // silent, and an idempotent request is sent to another target.
 constexpr int silence_timeout_objectives = 3;
-constexpr helpers::duration min_silence_timeout = std::chrono::milliseconds(250);
-// Callers abandon a stream after two seconds without data.
-constexpr helpers::duration stream_silence_timeout = std::chrono::milliseconds(1200);
 // A request is queued for its objective or a quarter of its time limit, whichever is longer, but no
 // longer than this: callers abandon a request after two seconds without a response.
 constexpr helpers::duration max_queue_wait = std::chrono::milliseconds(1400);
 constexpr int queue_wait_divisor = 4;
 // Fraction (1/n) of an objective that may pass in the queue; the rest is for the target.
 constexpr int objective_queue_divisor = 2;
-constexpr std::size_t max_buffered_bytes = std::size_t{4} << 20;
-constexpr std::size_t max_event_bytes = std::size_t{256} << 10;
-constexpr std::size_t high_water_bytes = std::size_t{256} << 10;
-constexpr int status_misdirected = 421;
-constexpr int status_ok = 200;
-constexpr int first_redirect = 300;
-constexpr int first_success = 200;
-
-bool is_success(int status) {
-    return status >= first_success && status < first_redirect;
-}
-
-// Statuses that callers interpret as "the request was not executed".
-bool means_not_run(int status) {
-    constexpr std::array<int, 4> not_run_statuses{408, 421, 429, 503};
-    return std::find(not_run_statuses.begin(), not_run_statuses.end(), status) !=
-           not_run_statuses.end();
-}
-
+// Longer lists of segments are cut off in the log.
 constexpr std::size_t max_logged_segments = 8;
-constexpr std::size_t max_logged_value = 32;
 
 // The ids of the first segments of a prompt, in hexadecimal and separated by commas.
 std::string segment_list(const placement::prompt& from) {
@@ -67,11 +45,6 @@
 
 } // namespace
 
-std::string_view proxied_request::to_string(response_progress progress) {
-    constexpr std::array<std::string_view, 3> names{"none", "begun", "under_way"};
-    return names.at(static_cast<std::size_t>(progress));
-}
-
 proxied_request::proxied_request(request_services& services, std::unique_ptr<http::exchange> caller,
                                  std::shared_ptr<const routing::route_table> table,
                                  helpers::time_point arrived, std::uint64_t sequence,
@@ -305,143 +278,6 @@
     this->retry();
 }
 
-bool proxied_request::matches_request_id(const http::header_list& headers) const {
-    return http::find_header(headers, this->services.names.request_id) == this->metadata.id;
-}
-
-void proxied_request::read_occupancy_report(const http::header_list& headers) {
-    const auto& names = this->services.names;
-    if (const auto load = http::find_header(headers, names.target_load))
-        if (const auto report = parse_occupancy_report(*load))
-            this->services.dispatch.on_occupancy_report(*this->current_assignment, *report);
-}
-
-void proxied_request::read_target_limit(const http::header_list& headers) {
-    const auto text = http::find_header(headers, this->services.names.target_limit);
-    const auto per_second = text ? admission::parse_request_rate(*text) : std::nullopt;
-    if (!text || per_second) {
-        this->services.dispatch.on_limit(*this->current_assignment, per_second);
-        return;
-    }
-    // What the target named before stays in force.
-    this->services.events.write(kernel::severity::warning, "target.limit_rejected", std::nullopt,
-                                {{"request_id", this->metadata.id},
-                                 {"target", this->last_target_name},
-                                 {"value", std::string(text->substr(0, max_logged_value))}});
-}
-
-void proxied_request::on_head(int response_status, const http::header_list& headers) {
-    const auto& names = this->services.names;
-    this->has_head = true;
-    this->read_occupancy_report(headers);
-    if (response_status == status_misdirected) {
-        this->services.catalog.remove_replaced(this->current_assignment->target->serial);
-        this->finish_attempt(
-            attempt_outcome::not_run,
-            {error_kind::target_unreachable, "a target of another name responded at the address"});
-        return;
-    }
-    this->read_target_limit(headers);
-    if (http::find_header(headers, names.not_run)) {
-        this->finish_attempt(attempt_outcome::not_run,
-                             {error_kind::queue_full, "the target did not run the request"});
-        return;
-    }
-    // A success, or a status that states that nothing ran, counts only if the target itself
-    // produced it, which the seal shows.
-    const bool needs_seal = is_success(response_status) || means_not_run(response_status);
-    if (!this->matches_request_id(headers) ||
-        (needs_seal && !http::find_header(headers, names.seal))) {
-        this->finish_attempt(
-            attempt_outcome::maybe_run,
-            {error_kind::target_failed, "the response does not belong to this request"});
-        return;
-    }
-    if (this->response_started && !is_success(response_status)) {
-        this->finish_attempt(attempt_outcome::maybe_run, {error_kind::answer_truncated,
-                                                          "the target did not resume the stream"});
-        return;
-    }
-    const auto type = http::find_header(headers, "content-type").value_or("");
-    this->is_event_stream = is_success(response_status) &&
-                            (this->route->is_streaming || type.starts_with("text/event-stream"));
-    if (this->response_started)
-        return;
-    this->status = response_status;
-    this->response_headers = returned_headers(headers);
-}
-
-void proxied_request::on_body(std::span<const char> data) {
-    if (!this->is_event_stream) {
-        this->buffered_body.append(data.data(), data.size());
-        if (this->buffered_body.size() > max_buffered_bytes)
-            this->finish_attempt(attempt_outcome::maybe_run,
-                                 {error_kind::target_failed, "the response body exceeds 4 MiB"});
-        return;
-    }
-    this->forward_events(this->splitter.append({data.data(), data.size()}));
-    if (this->splitter.partial_bytes() > max_event_bytes)
-        this->finish_attempt(attempt_outcome::maybe_run,
-                             {error_kind::target_failed, "an event exceeds 256 KiB"});
-}
-
-void proxied_request::forward_events(std::string_view events) {
-    if (events.empty())
-        return;
-    if (this->current_assignment->prompt_pending)
-        this->services.dispatch.on_prompt_processed(*this->current_assignment);
-    if (this->progress() == response_progress::under_way)
-        this->report_under_way();
-    this->begin_response();
-    this->arm_silence_timer(std::max(stream_silence_timeout, min_silence_timeout));
-    this->caller->write(events);
-    if (this->caller->buffered() > high_water_bytes && this->call != nullptr)
-        this->call->pause();
-}
-
-void proxied_request::begin_response() {
-    if (std::exchange(this->response_started, true))
-        return;
-    this->first_byte_ms = this->elapsed_milliseconds();
-    if (this->services.latencies.first_byte)
-        this->services.latencies.first_byte(static_cast<double>(this->first_byte_ms) / 1000);
-    this->caller->begin(this->status, std::move(this->response_headers));
-}
-
-void proxied_request::on_done() {
-    // A stream without a length ends with its connection, also if its target crashes.
-    const bool is_empty = this->status == status_ok && this->splitter.event_count() == 0;
-    if (this->is_event_stream && (!this->splitter.at_boundary() || is_empty)) {
-        this->report_target_lost();
-        this->finish_attempt(
-            attempt_outcome::maybe_run,
-            {error_kind::answer_truncated, is_empty ? "the stream ended before its first event"
-                                                    : "the stream ended inside an event"});
-        return;
-    }
-    if (this->status >= first_server_error && !this->response_started) {
-        this->finish_attempt(attempt_outcome::error_response,
-                             {error_kind::target_failed, "the target responded with an error"});
-        return;
-    }
-    this->complete();
-}
-
-void proxied_request::complete() {
-    if (!this->is_event_stream || this->splitter.event_count() > this->earlier_events)
-        this->report_under_way();
-    this->release(attempt_result::succeeded);
-    if (this->is_event_stream) {
-        this->begin_response();
-        this->caller->finish();
-    } else {
-        this->first_byte_ms = this->elapsed_milliseconds();
-        this->caller->respond(this->status, std::move(this->response_headers), this->buffered_body);
-    }
-    ++this->services.counters.responded;
-    this->finish("answered", "");
-}
-
 void proxied_request::on_failed(const kernel::error& reason, bool maybe_sent) {
     if (maybe_sent &&
         (reason.kind == error_kind::connection_lost || reason.kind == error_kind::answer_truncated))
@@ -507,27 +343,6 @@
     this->release(result);
 }
 
-proxied_request::response_progress proxied_request::progress() const {
-    if (!this->has_head)
-        return response_progress::none;
-    return this->splitter.event_count() - this->earlier_events < events_under_way
-               ? response_progress::begun
-               : response_progress::under_way;
-}
-
-void proxied_request::report_target_lost() {
-    if (this->progress() == response_progress::under_way || !this->current_assignment)
-        return;
-    this->services.prompts.on_target_lost(
-        this->metadata.prompt, this->current_assignment->target->incarnation_hash,
-        this->progress() == response_progress::begun, this->prompt_verdict);
-}
-
-void proxied_request::report_under_way() {
-    if (!std::exchange(this->was_under_way, true))
-        this->services.prompts.on_under_way(this->metadata.prompt);
-}
-
 void proxied_request::retry() {
     if (this->attempts > 0)
         ++this->services.counters.retries;
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -70,6 +70,9 @@
 
 private:
     static constexpr int first_server_error = 500;
+    static constexpr helpers::duration min_silence_timeout = std::chrono::milliseconds(250);
+    // Callers abandon a stream after two seconds without data.
+    static constexpr helpers::duration stream_silence_timeout = std::chrono::milliseconds(1200);
     // A stream whose target has sent this many events has got past the start of the generation.
     static constexpr std::uint64_t events_under_way = 2;
 
--- /dev/null
+++ b/src/gateway/proxied_request_response.cpp
@@ -0,0 +1,202 @@
+// The response of a target: its head, its body or events, and what it says of the target and of the
+// prompt.
+#include "gateway/proxied_request.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace samphirespool::gateway {
+
+namespace {
+
+using kernel::error_kind;
+
+constexpr std::size_t max_buffered_bytes = std::size_t{4} << 20;
+constexpr std::size_t max_event_bytes = std::size_t{256} << 10;
+// Reading from the target stops while more than this waits for the caller.
+constexpr std::size_t high_water_bytes = std::size_t{256} << 10;
+// Longer values of a target's header fields are cut off in the log.
+constexpr std::size_t max_logged_value = 32;
+constexpr int status_misdirected = 421;
+constexpr int status_ok = 200;
+constexpr int first_redirect = 300;
+constexpr int first_success = 200;
+
+bool is_success(int status) {
+    return status >= first_success && status < first_redirect;
+}
+
+// Statuses that callers interpret as "the request was not executed".
+bool means_not_run(int status) {
+    constexpr std::array<int, 4> not_run_statuses{408, 421, 429, 503};
+    return std::find(not_run_statuses.begin(), not_run_statuses.end(), status) !=
+           not_run_statuses.end();
+}
+
+} // namespace
+
+std::string_view proxied_request::to_string(response_progress progress) {
+    constexpr std::array<std::string_view, 3> names{"none", "begun", "under_way"};
+    return names.at(static_cast<std::size_t>(progress));
+}
+
+bool proxied_request::matches_request_id(const http::header_list& headers) const {
+    return http::find_header(headers, this->services.names.request_id) == this->metadata.id;
+}
+
+void proxied_request::read_occupancy_report(const http::header_list& headers) {
+    const auto& names = this->services.names;
+    if (const auto load = http::find_header(headers, names.target_load))
+        if (const auto report = parse_occupancy_report(*load))
+            this->services.dispatch.on_occupancy_report(*this->current_assignment, *report);
+}
+
+void proxied_request::read_target_limit(const http::header_list& headers) {
+    const auto text = http::find_header(headers, this->services.names.target_limit);
+    const auto per_second = text ? admission::parse_request_rate(*text) : std::nullopt;
+    if (!text || per_second) {
+        this->services.dispatch.on_limit(*this->current_assignment, per_second);
+        return;
+    }
+    // What the target named before stays in force.
+    this->services.events.write(kernel::severity::warning, "target.limit_rejected", std::nullopt,
+                                {{"request_id", this->metadata.id},
+                                 {"target", this->last_target_name},
+                                 {"value", std::string(text->substr(0, max_logged_value))}});
+}
+
+void proxied_request::on_head(int response_status, const http::header_list& headers) {
+    const auto& names = this->services.names;
+    this->has_head = true;
+    this->read_occupancy_report(headers);
+    if (response_status == status_misdirected) {
+        this->services.catalog.remove_replaced(this->current_assignment->target->serial);
+        this->finish_attempt(
+            attempt_outcome::not_run,
+            {error_kind::target_unreachable, "a target of another name responded at the address"});
+        return;
+    }
+    this->read_target_limit(headers);
+    if (http::find_header(headers, names.not_run)) {
+        this->finish_attempt(attempt_outcome::not_run,
+                             {error_kind::queue_full, "the target did not run the request"});
+        return;
+    }
+    // A success, or a status that states that nothing ran, counts only if the target itself
+    // produced it, which the seal shows.
+    const bool needs_seal = is_success(response_status) || means_not_run(response_status);
+    if (!this->matches_request_id(headers) ||
+        (needs_seal && !http::find_header(headers, names.seal))) {
+        this->finish_attempt(
+            attempt_outcome::maybe_run,
+            {error_kind::target_failed, "the response does not belong to this request"});
+        return;
+    }
+    if (this->response_started && !is_success(response_status)) {
+        this->finish_attempt(attempt_outcome::maybe_run, {error_kind::answer_truncated,
+                                                          "the target did not resume the stream"});
+        return;
+    }
+    const auto type = http::find_header(headers, "content-type").value_or("");
+    this->is_event_stream = is_success(response_status) &&
+                            (this->route->is_streaming || type.starts_with("text/event-stream"));
+    if (this->response_started)
+        return;
+    this->status = response_status;
+    this->response_headers = returned_headers(headers);
+}
+
+void proxied_request::on_body(std::span<const char> data) {
+    if (!this->is_event_stream) {
+        this->buffered_body.append(data.data(), data.size());
+        if (this->buffered_body.size() > max_buffered_bytes)
+            this->finish_attempt(attempt_outcome::maybe_run,
+                                 {error_kind::target_failed, "the response body exceeds 4 MiB"});
+        return;
+    }
+    this->forward_events(this->splitter.append({data.data(), data.size()}));
+    if (this->splitter.partial_bytes() > max_event_bytes)
+        this->finish_attempt(attempt_outcome::maybe_run,
+                             {error_kind::target_failed, "an event exceeds 256 KiB"});
+}
+
+void proxied_request::forward_events(std::string_view events) {
+    if (events.empty())
+        return;
+    if (this->current_assignment->prompt_pending)
+        this->services.dispatch.on_prompt_processed(*this->current_assignment);
+    if (this->progress() == response_progress::under_way)
+        this->report_under_way();
+    this->begin_response();
+    this->arm_silence_timer(std::max(stream_silence_timeout, min_silence_timeout));
+    this->caller->write(events);
+    if (this->caller->buffered() > high_water_bytes && this->call != nullptr)
+        this->call->pause();
+}
+
+void proxied_request::begin_response() {
+    if (std::exchange(this->response_started, true))
+        return;
+    this->first_byte_ms = this->elapsed_milliseconds();
+    if (this->services.latencies.first_byte)
+        this->services.latencies.first_byte(static_cast<double>(this->first_byte_ms) / 1000);
+    this->caller->begin(this->status, std::move(this->response_headers));
+}
+
+void proxied_request::on_done() {
+    // A stream without a length ends with its connection, also if its target crashes.
+    const bool is_empty = this->status == status_ok && this->splitter.event_count() == 0;
+    if (this->is_event_stream && (!this->splitter.at_boundary() || is_empty)) {
+        this->report_target_lost();
+        this->finish_attempt(
+            attempt_outcome::maybe_run,
+            {error_kind::answer_truncated, is_empty ? "the stream ended before its first event"
+                                                    : "the stream ended inside an event"});
+        return;
+    }
+    if (this->status >= first_server_error && !this->response_started) {
+        this->finish_attempt(attempt_outcome::error_response,
+                             {error_kind::target_failed, "the target responded with an error"});
+        return;
+    }
+    this->complete();
+}
+
+void proxied_request::complete() {
+    if (!this->is_event_stream || this->splitter.event_count() > this->earlier_events)
+        this->report_under_way();
+    this->release(attempt_result::succeeded);
+    if (this->is_event_stream) {
+        this->begin_response();
+        this->caller->finish();
+    } else {
+        this->first_byte_ms = this->elapsed_milliseconds();
+        this->caller->respond(this->status, std::move(this->response_headers), this->buffered_body);
+    }
+    ++this->services.counters.responded;
+    this->finish("answered", "");
+}
+
+proxied_request::response_progress proxied_request::progress() const {
+    if (!this->has_head)
+        return response_progress::none;
+    return this->splitter.event_count() - this->earlier_events < events_under_way
+               ? response_progress::begun
+               : response_progress::under_way;
+}
+
+void proxied_request::report_target_lost() {
+    if (this->progress() == response_progress::under_way || !this->current_assignment)
+        return;
+    this->services.prompts.on_target_lost(
+        this->metadata.prompt, this->current_assignment->target->incarnation_hash,
+        this->progress() == response_progress::begun, this->prompt_verdict);
+}
+
+void proxied_request::report_under_way() {
+    if (!std::exchange(this->was_under_way, true))
+        this->services.prompts.on_under_way(this->metadata.prompt);
+}
+
+} // namespace samphirespool::gateway
