--- a/src/admission/fleet_share.cpp
+++ b/src/admission/fleet_share.cpp
@@ -1,6 +1,8 @@
 // Computes this gateway's shares of the fleet-wide limits.
 #include "admission/fleet_share.hpp"
 
+#include "admission/member_rank.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -12,10 +14,6 @@
 // not in every member list yet.
 constexpr double divided_fraction = 0.85;
 
-std::uint64_t rank_of(std::string_view target, std::string_view member) {
-    return helpers::hash_name(std::string(target).append("|").append(member));
-}
-
 } // namespace
 
 fleet_retry_budget::recent_usage& fleet_retry_budget::usage_of(helpers::service_id service) {
@@ -53,11 +51,7 @@
     const auto count = std::max<std::size_t>(1, this->members.size());
     if (count <= total)
         return total / count;
-    const auto own = rank_of(target, this->self);
-    const auto ranked_before =
-        std::count_if(this->members.begin(), this->members.end(),
-                      [&](const std::string& member) { return rank_of(target, member) < own; });
-    return static_cast<std::size_t>(ranked_before) < total ? 1 : 0;
+    return rank_among(this->members, this->self, target) < total ? 1 : 0;
 }
 
 bool cold_target_share::may_send(std::string_view target, double rate,
--- a/src/admission/segment_quarantine.cpp
+++ b/src/admission/segment_quarantine.cpp
@@ -1,10 +1,10 @@
 // Evidence against prompt segments, its exchange, and the trials of quarantined segments.
 #include "admission/segment_quarantine.hpp"
 
-#include "helpers/ids.hpp"
+#include "admission/member_rank.hpp"
+#include "helpers/hex.hpp"
 
 #include <algorithm>
-#include <array>
 #include <tuple>
 #include <utility>
 
@@ -51,12 +51,6 @@
     return is_quarantined ? quarantine_lifetime : evidence_lifetime;
 }
 
-std::uint64_t rank_of(std::uint64_t segment, std::int64_t turn, std::string_view member) {
-    const std::array<std::uint64_t, 2> key{segment, static_cast<std::uint64_t>(turn)};
-    std::string text(reinterpret_cast<const char*>(key.data()), sizeof(key));
-    return helpers::hash_name(text.append(member));
-}
-
 } // namespace
 
 void segment_quarantine::on_target_lost(const placement::prompt& prompt,
@@ -284,10 +278,8 @@
     if (state.trial_at && now - *state.trial_at < wait)
         return false;
     const auto turn = since_wait / trial_turn;
-    const auto own = rank_of(segment, turn, this->self);
-    return std::none_of(this->members.begin(), this->members.end(), [&](const std::string& member) {
-        return member != this->self && rank_of(segment, turn, member) < own;
-    });
+    const auto key = helpers::to_hex(segment) + "/" + std::to_string(turn);
+    return rank_among(this->members, this->self, key) == 0;
 }
 
 segment_evidence_list segment_quarantine::evidence(helpers::time_point now) const {
--- a/src/admission/target_limits.cpp
+++ b/src/admission/target_limits.cpp
@@ -1,7 +1,7 @@
 // Division of named limits among the gateways, and their exchange.
 #include "admission/target_limits.hpp"
 
-#include "helpers/ids.hpp"
+#include "admission/member_rank.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -40,10 +40,6 @@
     return std::max<std::size_t>(1, static_cast<std::size_t>(per_second * window.count()));
 }
 
-std::uint64_t rank_of(std::uint32_t target, std::string_view member) {
-    return helpers::hash_name(std::to_string(target).append("/").append(member));
-}
-
 } // namespace
 
 std::optional<double> parse_request_rate(std::string_view text) {
@@ -106,11 +102,8 @@
 // An equal part for each gateway; those that rank first for the target get what remains, one each.
 std::size_t target_limits::share_of(std::uint32_t target, std::size_t total) const {
     const auto count = std::max<std::size_t>(1, this->members.size());
-    const auto own = rank_of(target, this->self);
-    const auto before =
-        std::count_if(this->members.begin(), this->members.end(),
-                      [&](const std::string& member) { return rank_of(target, member) < own; });
-    return total / count + (static_cast<std::size_t>(before) < total % count ? 1 : 0);
+    const auto rank = rank_among(this->members, this->self, std::to_string(target));
+    return total / count + (rank < total % count ? 1 : 0);
 }
 
 target_limit_list target_limits::announcements(helpers::time_point now) const {
