Gateway log: digest of the request in each failed attempt and at its end

Requests without a prompt left nothing in the log that tells a repeated request from others of its route, so that the hypotheses of docs/incidents/repeated-crash-request.md could not be told apart. Responses are unchanged.

--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -108,7 +108,10 @@
         return false;
     }
     this->priority = this->route->priority;
-    return this->check_api_key();
+    if (!this->check_api_key())
+        return false;
+    this->digest = request_digest(incoming, this->organisation);
+    return true;
 }
 
 bool proxied_request::check_api_key() {
@@ -335,6 +338,7 @@
                                  {"progress", std::string(to_string(this->progress()))},
                                  {"events", this->splitter.event_count() - this->earlier_events},
                                  {"segments", segment_list(this->metadata.prompt)},
+                                 {"digest", helpers::to_hex(this->digest)},
                                  {"left_ms", helpers::whole_milliseconds(this->time_left())}});
     this->has_reached_target = false;
     this->may_have_run = this->may_have_run || outcome != attempt_outcome::not_run;
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -152,6 +152,8 @@
     request_metadata metadata;
     const routing::route* route = nullptr;
     std::string organisation;
+    // See request_digest().
+    std::uint64_t digest = 0;
     std::uint32_t priority = 0;
     helpers::service_id service;
     helpers::time_point arrived_at;
--- a/src/gateway/proxied_request_finish.cpp
+++ b/src/gateway/proxied_request_finish.cpp
@@ -1,6 +1,7 @@
 // How a request finishes: rejection, broken stream or disconnect, and its log event.
 #include "gateway/proxied_request.hpp"
 
+#include "helpers/hex.hpp"
 #include "http/error_response.hpp"
 
 #include <algorithm>
@@ -133,6 +134,7 @@
          {"sequence", this->sequence},
          {"route", this->route == nullptr ? std::string() : this->route->name},
          {"organisation", this->organisation},
+         {"digest", helpers::to_hex(this->digest)},
          {"version", this->table == nullptr ? 0 : this->table->values().version},
          {"target", this->last_target_name},
          {"outcome", std::string(outcome)},
--- a/src/gateway/request_metadata.cpp
+++ b/src/gateway/request_metadata.cpp
@@ -1,9 +1,12 @@
 // Parses and filters header fields.
 #include "gateway/request_metadata.hpp"
 
+#include "helpers/ids.hpp"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <span>
 
 namespace samphirespool::gateway {
 
@@ -126,6 +129,17 @@
     return metadata;
 }
 
+std::uint64_t request_digest(const http::server_request& request, std::string_view organisation) {
+    // The digests of the parts have a fixed length, so that no two lists of parts are taken for
+    // each other.
+    const std::array parts{
+        helpers::hash_name(organisation),      helpers::hash_name(request.method),
+        helpers::hash_name(request.authority), helpers::hash_name(request.path),
+        helpers::hash_name(request.query),     helpers::hash_name(request.body)};
+    const auto bytes = std::as_bytes(std::span(parts));
+    return helpers::hash_name({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+}
+
 http::header_list forwarded_headers(const http::header_list& from, const header_names& names) {
     http::header_list result;
     result.reserve(from.size() + 4);
--- a/src/gateway/request_metadata.hpp
+++ b/src/gateway/request_metadata.hpp
@@ -6,6 +6,7 @@
 #include "http/server.hpp"
 #include "placement/target_choice.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,6 +26,11 @@
 request_metadata read_request_metadata(const http::server_request& request,
                                        const header_names& names);
 
+// Identifies what a request asks for and who asks: requests with the same caller, method, host,
+// path, query and body have the same digest, on every gateway. The id of the attempt is not part of
+// it.
+std::uint64_t request_digest(const http::server_request& request, std::string_view organisation);
+
 // Parses the segments of a prompt; malformed entries are skipped.
 std::vector<placement::prompt_segment> parse_prompt_segments(std::string_view text);
 
--- a/tests/gateway/test_gateway_parts.cpp
+++ b/tests/gateway/test_gateway_parts.cpp
@@ -37,6 +37,26 @@
     CHECK(prompt.shared_prefix_tokens() == 1210);
 }
 
+// Guards against requests that cannot be told apart, or not recognised as the same, in the log.
+TEST_CASE("request metadata: the digest is that of the caller and of what it asks for") {
+    const http::header_list first_fields{{"x-request-id", "1"}};
+    const http::header_list second_fields{{"x-request-id", "2"}};
+    const http::server_request request{"POST", "host", "/a/1", "q=1", "body", first_fields};
+    const auto digest = gateway::request_digest(request, "org");
+    const http::server_request repeat{"POST", "host", "/a/1", "q=1", "body", second_fields};
+    CHECK(gateway::request_digest(repeat, "org") == digest);
+    CHECK(gateway::request_digest(request, "other") != digest);
+    const std::vector<http::server_request> others{
+        {"GET", "host", "/a/1", "q=1", "body", first_fields},
+        {"POST", "hos", "t/a/1", "q=1", "body", first_fields},
+        {"POST", "host", "/a/2", "q=1", "body", first_fields},
+        {"POST", "host", "/a/1", "q=2", "body", first_fields},
+        {"POST", "host", "/a/1", "q=1", "", first_fields},
+        {"POST", "host", "/a/1", "", "q=1body", first_fields}};
+    for (const auto& each : others)
+        CHECK(gateway::request_digest(each, "org") != digest);
+}
+
 TEST_CASE("request metadata: occupancy reports are parsed and malformed ones are rejected") {
     const auto load = gateway::parse_occupancy_report("3,1,8");
     REQUIRE(load);
