--- a/src/admission/segment_quarantine.cpp
+++ b/src/admission/crash_quarantine.cpp
@@ -1,5 +1,5 @@
 // Evidence against prompt segments, its exchange, and the trials of quarantined segments.
-#include "admission/segment_quarantine.hpp"
+#include "admission/crash_quarantine.hpp"
 
 #include "admission/member_rank.hpp"
 #include "helpers/hex.hpp"
@@ -53,12 +53,12 @@
 
 } // namespace
 
-void segment_quarantine::on_target_lost(const placement::prompt& prompt,
-                                        std::uint32_t incarnation_hash, bool had_begun,
-                                        verdict admitted_as, helpers::time_point now) {
+void crash_quarantine::on_target_lost(const placement::prompt& prompt,
+                                      std::uint32_t incarnation_hash, bool had_begun,
+                                      verdict admitted_as, helpers::time_point now) {
     std::uint8_t depth = 0;
     for (const auto& each : shared_segments(prompt)) {
-        auto& state = this->segments[each.id];
+        auto& state = this->suspects[each.id];
         if (admitted_as == verdict::trial && state.is_quarantined &&
             state.failed_trials < max_failed_trials)
             ++state.failed_trials;
@@ -69,8 +69,8 @@
     this->evict(now);
 }
 
-bool segment_quarantine::record_loss(segment_state& state, const loss& added,
-                                     helpers::time_point now) {
+bool crash_quarantine::record_loss(suspect_state& state, const loss& added,
+                                   helpers::time_point now) {
     const auto found =
         std::find_if(state.losses.begin(), state.losses.end(), [&](const loss& each) {
             return each.incarnation_hash == added.incarnation_hash;
@@ -94,16 +94,15 @@
     return true;
 }
 
-void segment_quarantine::on_under_way(const placement::prompt& prompt, helpers::time_point now) {
+void crash_quarantine::on_under_way(const placement::prompt& prompt, helpers::time_point now) {
     for (const auto& each : shared_segments(prompt))
-        if (const auto found = this->segments.find(each.id);
-            found != this->segments.end() &&
+        if (const auto found = this->suspects.find(each.id);
+            found != this->suspects.end() &&
             (found->second.is_quarantined || !found->second.losses.empty()))
             this->clear(each.id, found->second, now);
 }
 
-void segment_quarantine::clear(std::uint64_t segment, segment_state& state,
-                               helpers::time_point now) {
+void crash_quarantine::clear(std::uint64_t id, suspect_state& state, helpers::time_point now) {
     const auto moments = weigh(state.losses).moments;
     ++state.generation;
     state.losses.clear();
@@ -113,11 +112,11 @@
     state.changed_at = now;
     if (!std::exchange(state.is_quarantined, false))
         return;
-    this->transitions.push_back({segment, false, moments});
+    this->transitions.push_back({id, false, moments});
     this->quarantine_suspects(now);
 }
 
-segment_quarantine::weight segment_quarantine::weigh(const std::vector<loss>& losses) {
+crash_quarantine::weight crash_quarantine::weigh(const std::vector<loss>& losses) {
     weight result;
     std::optional<helpers::time_point> moment_start;
     std::uint32_t moment_weight = 0;
@@ -136,10 +135,10 @@
 
 // A quarantined segment explains losses of the segments that precede it, and of those that were
 // there at fewer losses.
-std::vector<segment_quarantine::loss>
-segment_quarantine::unexplained_losses(const segment_state& state) const {
+std::vector<crash_quarantine::loss>
+crash_quarantine::unexplained_losses(const suspect_state& state) const {
     auto result = state.losses;
-    for (const auto& [segment, other] : this->segments) {
+    for (const auto& [id, other] : this->suspects) {
         if (!other.is_quarantined)
             continue;
         if (other.depth <= state.depth && other.losses.size() < state.losses.size())
@@ -153,22 +152,22 @@
 
 // Quarantines the segment that explains most losses, the deepest of several, until the losses that
 // remain blame no other one.
-void segment_quarantine::quarantine_suspects(helpers::time_point now) {
-    for (auto suspect = this->find_suspect(); suspect != this->segments.end();
+void crash_quarantine::quarantine_suspects(helpers::time_point now) {
+    for (auto suspect = this->find_suspect(); suspect != this->suspects.end();
          suspect = this->find_suspect())
         this->quarantine(suspect->first, suspect->second, now);
 }
 
-bool segment_quarantine::has_loss(const std::vector<loss>& losses, std::uint32_t incarnation_hash) {
+bool crash_quarantine::has_loss(const std::vector<loss>& losses, std::uint32_t incarnation_hash) {
     return std::any_of(losses.begin(), losses.end(), [incarnation_hash](const loss& each) {
         return each.incarnation_hash == incarnation_hash;
     });
 }
 
-segment_quarantine::segment_map::iterator segment_quarantine::find_suspect() {
-    auto worst = this->segments.end();
+crash_quarantine::suspect_map::iterator crash_quarantine::find_suspect() {
+    auto worst = this->suspects.end();
     std::tuple<std::uint32_t, std::uint8_t> most{quarantine_score, 0};
-    for (auto each = this->segments.begin(); each != this->segments.end(); ++each) {
+    for (auto each = this->suspects.begin(); each != this->suspects.end(); ++each) {
         const auto& state = each->second;
         if (state.is_quarantined || weigh(state.losses).score < quarantine_score)
             continue;
@@ -185,9 +184,9 @@
 // Whether another segment was there at most of the losses and is the likelier cause. A harmful
 // segment is followed by different ones, so a deeper segment comes before one that precedes it. Of
 // segments at the same depth, the one with more losses does.
-bool segment_quarantine::has_likelier_suspect(const segment_state& suspect,
-                                              const std::vector<loss>& unexplained) const {
-    return std::any_of(this->segments.begin(), this->segments.end(), [&](const auto& entry) {
+bool crash_quarantine::has_likelier_suspect(const suspect_state& suspect,
+                                            const std::vector<loss>& unexplained) const {
+    return std::any_of(this->suspects.begin(), this->suspects.end(), [&](const auto& entry) {
         const auto& other = entry.second;
         const bool is_likelier =
             other.depth > suspect.depth ||
@@ -202,17 +201,16 @@
     });
 }
 
-void segment_quarantine::quarantine(std::uint64_t segment, segment_state& state,
-                                    helpers::time_point now) {
+void crash_quarantine::quarantine(std::uint64_t id, suspect_state& state, helpers::time_point now) {
     state.is_quarantined = true;
     state.quarantined_at = now;
     state.changed_at = now;
-    this->transitions.push_back({segment, true, weigh(state.losses).moments});
+    this->transitions.push_back({id, true, weigh(state.losses).moments});
 }
 
-segment_evidence segment_quarantine::describe(std::uint64_t segment, const segment_state& state) {
-    segment_evidence result;
-    result.segment = segment;
+crash_evidence crash_quarantine::describe(std::uint64_t id, const suspect_state& state) {
+    crash_evidence result;
+    result.suspect = id;
     result.generation = state.generation;
     result.is_quarantined = state.is_quarantined;
     result.depth = state.depth;
@@ -220,29 +218,29 @@
     return result;
 }
 
-std::optional<segment_evidence> segment_quarantine::state_of(std::uint64_t segment) const {
-    const auto found = this->segments.find(segment);
-    if (found == this->segments.end())
+std::optional<crash_evidence> crash_quarantine::state_of(std::uint64_t id) const {
+    const auto found = this->suspects.find(id);
+    if (found == this->suspects.end())
         return std::nullopt;
-    return describe(segment, found->second);
+    return describe(id, found->second);
 }
 
-std::vector<segment_evidence> segment_quarantine::quarantined() const {
-    std::vector<segment_evidence> result;
-    for (const auto& [segment, state] : this->segments)
+std::vector<crash_evidence> crash_quarantine::quarantined() const {
+    std::vector<crash_evidence> result;
+    for (const auto& [id, state] : this->suspects)
         if (state.is_quarantined)
-            result.push_back(describe(segment, state));
+            result.push_back(describe(id, state));
     return result;
 }
 
-segment_quarantine::verdict segment_quarantine::check(const placement::prompt& prompt,
-                                                      helpers::time_point now) {
+crash_quarantine::verdict crash_quarantine::check(const placement::prompt& prompt,
+                                                  helpers::time_point now) {
     if (!this->is_quarantined(prompt))
         return verdict::admitted;
-    segment_state* tried = nullptr;
+    suspect_state* tried = nullptr;
     for (const auto& each : shared_segments(prompt)) {
-        const auto found = this->segments.find(each.id);
-        if (found == this->segments.end())
+        const auto found = this->suspects.find(each.id);
+        if (found == this->suspects.end())
             continue;
         auto& state = found->second;
         // A deeper segment that is under suspicion would confuse the result.
@@ -258,16 +256,16 @@
     return verdict::trial;
 }
 
-bool segment_quarantine::is_quarantined(const placement::prompt& prompt) const {
+bool crash_quarantine::is_quarantined(const placement::prompt& prompt) const {
     const auto shared = shared_segments(prompt);
     return std::any_of(shared.begin(), shared.end(), [this](const auto& each) {
-        const auto found = this->segments.find(each.id);
-        return found != this->segments.end() && found->second.is_quarantined;
+        const auto found = this->suspects.find(each.id);
+        return found != this->suspects.end() && found->second.is_quarantined;
     });
 }
 
-bool segment_quarantine::may_try(std::uint64_t segment, const segment_state& state,
-                                 helpers::time_point now) const {
+bool crash_quarantine::may_try(std::uint64_t id, const suspect_state& state,
+                               helpers::time_point now) const {
     auto wait = first_trial_wait;
     for (std::uint8_t i = 0; i < state.failed_trials; ++i)
         wait *= trial_wait_factor;
@@ -278,15 +276,15 @@
     if (state.trial_at && now - *state.trial_at < wait)
         return false;
     const auto turn = since_wait / trial_turn;
-    const auto key = helpers::to_hex(segment) + "/" + std::to_string(turn);
+    const auto key = helpers::to_hex(id) + "/" + std::to_string(turn);
     return rank_among(this->members, this->self, key) == 0;
 }
 
-segment_evidence_list segment_quarantine::evidence(helpers::time_point now) const {
+crash_evidence_list crash_quarantine::evidence(helpers::time_point now) const {
     // Quarantined segments first, then those under the strongest suspicion.
     using rank = std::tuple<bool, std::uint32_t, helpers::time_point>;
-    std::vector<std::pair<rank, segment_map::const_iterator>> sent;
-    for (auto each = this->segments.begin(); each != this->segments.end(); ++each) {
+    std::vector<std::pair<rank, suspect_map::const_iterator>> sent;
+    for (auto each = this->suspects.begin(); each != this->suspects.end(); ++each) {
         const auto& state = each->second;
         const auto losses = weigh(state.losses);
         const bool is_news = now - state.changed_at <= news_lifetime;
@@ -295,7 +293,7 @@
     }
     std::sort(sent.begin(), sent.end(),
               [](const auto& a, const auto& b) { return a.first > b.first; });
-    segment_evidence_list result;
+    crash_evidence_list result;
     for (const auto& [order, each] : sent) {
         if (result.size() >= max_sent_evidence)
             break;
@@ -305,9 +303,9 @@
     return result;
 }
 
-void segment_quarantine::append_evidence(std::uint64_t segment, const segment_state& state,
-                                         helpers::time_point now, segment_evidence_list& into) {
-    auto entry = describe(segment, state);
+void crash_quarantine::append_evidence(std::uint64_t id, const suspect_state& state,
+                                       helpers::time_point now, crash_evidence_list& into) {
+    auto entry = describe(id, state);
     if (state.losses.empty())
         into.push_back(entry);
     const bool is_news = now - state.changed_at <= news_lifetime;
@@ -321,8 +319,7 @@
     }
 }
 
-void segment_quarantine::merge(std::span<const segment_evidence> received,
-                               helpers::time_point now) {
+void crash_quarantine::merge(std::span<const crash_evidence> received, helpers::time_point now) {
     if (received.empty())
         return;
     bool any_changed = false;
@@ -334,8 +331,8 @@
 }
 
 // Returns whether the losses have changed.
-bool segment_quarantine::merge_one(const segment_evidence& received, helpers::time_point now) {
-    auto& state = this->segments[received.segment];
+bool crash_quarantine::merge_one(const crash_evidence& received, helpers::time_point now) {
+    auto& state = this->suspects[received.suspect];
     const loss stated{received.incarnation_hash, received.had_begun, now - received.age};
     if (received.generation < state.generation) {
         // The sender has started or missed the clearance: it gets the state again. A loss from
@@ -347,38 +344,38 @@
         return this->record_loss(state, stated, now);
     }
     if (received.generation > state.generation) {
-        this->clear(received.segment, state, now);
+        this->clear(received.suspect, state, now);
         state.generation = received.generation;
     }
     state.depth = std::max(state.depth, received.depth);
     state.failed_trials = std::max(state.failed_trials, received.failed_trials);
     const bool changed = received.incarnation_hash != 0 && this->record_loss(state, stated, now);
     if (received.is_quarantined && !state.is_quarantined)
-        this->quarantine(received.segment, state, now);
+        this->quarantine(received.suspect, state, now);
     return changed;
 }
 
-void segment_quarantine::evict(helpers::time_point now) {
-    std::erase_if(this->segments, [now](const auto& entry) {
+void crash_quarantine::evict(helpers::time_point now) {
+    std::erase_if(this->suspects, [now](const auto& entry) {
         return now - entry.second.changed_at > lifetime_of(entry.second.is_quarantined);
     });
-    while (this->segments.size() > max_segments) {
+    while (this->suspects.size() > max_segments) {
         const auto oldest = std::min_element(
-            this->segments.begin(), this->segments.end(), [](const auto& a, const auto& b) {
+            this->suspects.begin(), this->suspects.end(), [](const auto& a, const auto& b) {
                 return std::tuple(a.second.is_quarantined, a.second.changed_at) <
                        std::tuple(b.second.is_quarantined, b.second.changed_at);
             });
-        this->segments.erase(oldest);
+        this->suspects.erase(oldest);
     }
 }
 
-std::vector<segment_quarantine::transition> segment_quarantine::take_transitions() {
+std::vector<crash_quarantine::transition> crash_quarantine::take_transitions() {
     return std::exchange(this->transitions, {});
 }
 
-std::size_t segment_quarantine::quarantined_count() const {
+std::size_t crash_quarantine::quarantined_count() const {
     return static_cast<std::size_t>(
-        std::count_if(this->segments.begin(), this->segments.end(),
+        std::count_if(this->suspects.begin(), this->suspects.end(),
                       [](const auto& entry) { return entry.second.is_quarantined; }));
 }
 
--- a/src/admission/segment_quarantine.hpp
+++ b/src/admission/crash_quarantine.hpp
@@ -18,8 +18,8 @@
 namespace samphirespool::admission {
 
 // What gateways tell each other about one segment: its state, or the loss of one target.
-struct segment_evidence {
-    std::uint64_t segment = 0;
+struct crash_evidence {
+    std::uint64_t suspect = 0;
     // How often the segment was cleared. Evidence of an earlier generation is void.
     std::uint16_t generation = 0;
     bool is_quarantined = false;
@@ -34,12 +34,12 @@
     // Time since the loss.
     helpers::duration age{};
 
-    friend bool operator==(const segment_evidence&, const segment_evidence&) = default;
+    friend bool operator==(const crash_evidence&, const crash_evidence&) = default;
 };
 
-using segment_evidence_list = std::vector<segment_evidence>;
+using crash_evidence_list = std::vector<crash_evidence>;
 
-class segment_quarantine {
+class crash_quarantine {
 public:
     enum class verdict : std::uint8_t {
         admitted,
@@ -51,13 +51,13 @@
 
     // A segment whose state changed, for the log.
     struct transition {
-        std::uint64_t segment = 0;
+        std::uint64_t suspect = 0;
         bool is_quarantined = false;
         // Moments at which targets were lost with a request of this segment.
         std::size_t losses = 0;
     };
 
-    explicit segment_quarantine(std::string self) : self(std::move(self)) {}
+    explicit crash_quarantine(std::string self) : self(std::move(self)) {}
 
     // Names of all gateways, which take turns with trials.
     void set_members(std::vector<std::string> names) { this->members = std::move(names); }
@@ -75,13 +75,13 @@
 
     // Evidence for the other gateways: quarantined segments, then those that lost several targets
     // and what has changed recently, strongest suspicion first. Bounded by max_sent_evidence.
-    segment_evidence_list evidence(helpers::time_point now) const;
-    void merge(std::span<const segment_evidence> received, helpers::time_point now);
+    crash_evidence_list evidence(helpers::time_point now) const;
+    void merge(std::span<const crash_evidence> received, helpers::time_point now);
 
     // The state of a segment: whether it is quarantined, and since how many clearances. Nothing if
     // the segment is unknown.
-    std::optional<segment_evidence> state_of(std::uint64_t segment) const;
-    std::vector<segment_evidence> quarantined() const;
+    std::optional<crash_evidence> state_of(std::uint64_t id) const;
+    std::vector<crash_evidence> quarantined() const;
 
     // Returns the segments that were quarantined or released since the last call.
     std::vector<transition> take_transitions();
@@ -96,7 +96,7 @@
         helpers::time_point at{};
     };
 
-    struct segment_state {
+    struct suspect_state {
         std::uint16_t generation = 0;
         std::uint8_t depth = 0;
         bool is_quarantined = false;
@@ -115,29 +115,29 @@
         std::uint32_t score = 0;
     };
 
-    using segment_map = std::map<std::uint64_t, segment_state>;
+    using suspect_map = std::map<std::uint64_t, suspect_state>;
 
-    bool record_loss(segment_state& state, const loss& added, helpers::time_point now);
-    bool merge_one(const segment_evidence& received, helpers::time_point now);
-    void clear(std::uint64_t segment, segment_state& state, helpers::time_point now);
-    void quarantine(std::uint64_t segment, segment_state& state, helpers::time_point now);
+    bool record_loss(suspect_state& state, const loss& added, helpers::time_point now);
+    bool merge_one(const crash_evidence& received, helpers::time_point now);
+    void clear(std::uint64_t id, suspect_state& state, helpers::time_point now);
+    void quarantine(std::uint64_t id, suspect_state& state, helpers::time_point now);
     void quarantine_suspects(helpers::time_point now);
-    segment_map::iterator find_suspect();
-    bool has_likelier_suspect(const segment_state& suspect,
+    suspect_map::iterator find_suspect();
+    bool has_likelier_suspect(const suspect_state& suspect,
                               const std::vector<loss>& unexplained) const;
     static bool has_loss(const std::vector<loss>& losses, std::uint32_t incarnation_hash);
     static weight weigh(const std::vector<loss>& losses);
     // The losses for which no quarantined segment is the likelier cause.
-    std::vector<loss> unexplained_losses(const segment_state& state) const;
-    static void append_evidence(std::uint64_t segment, const segment_state& state,
-                                helpers::time_point now, segment_evidence_list& into);
-    static segment_evidence describe(std::uint64_t segment, const segment_state& state);
-    bool may_try(std::uint64_t segment, const segment_state& state, helpers::time_point now) const;
+    std::vector<loss> unexplained_losses(const suspect_state& state) const;
+    static void append_evidence(std::uint64_t id, const suspect_state& state,
+                                helpers::time_point now, crash_evidence_list& into);
+    static crash_evidence describe(std::uint64_t id, const suspect_state& state);
+    bool may_try(std::uint64_t id, const suspect_state& state, helpers::time_point now) const;
     void evict(helpers::time_point now);
 
     std::string self;
     std::vector<std::string> members;
-    segment_map segments;
+    suspect_map suspects;
     std::vector<transition> transitions;
 };
 
--- a/src/exchange/exchange_node.cpp
+++ b/src/exchange/exchange_node.cpp
@@ -299,7 +299,7 @@
     return message;
 }
 
-void exchange_node::merge_evidence(const admission::segment_evidence_list& received) const {
+void exchange_node::merge_evidence(const admission::crash_evidence_list& received) const {
     if (!received.empty() && this->evidence_handler)
         this->evidence_handler(received);
 }
--- a/src/exchange/exchange_node.hpp
+++ b/src/exchange/exchange_node.hpp
@@ -85,10 +85,10 @@
 
     // Evidence against prompt segments goes with each report and reply. The source returns all that
     // this gateway knows, so that it reaches all gateways through any that are connected.
-    void set_evidence_source(std::function<admission::segment_evidence_list()> source) {
+    void set_evidence_source(std::function<admission::crash_evidence_list()> source) {
         this->own_evidence = std::move(source);
     }
-    void on_evidence(std::function<void(const admission::segment_evidence_list&)> handler) {
+    void on_evidence(std::function<void(const admission::crash_evidence_list&)> handler) {
         this->evidence_handler = std::move(handler);
     }
 
@@ -151,7 +151,7 @@
     void receive(const helpers::endpoint& from, report message);
     void receive(const helpers::endpoint& from, reply message);
     void apply_updates(std::vector<feed_update> updates);
-    void merge_evidence(const admission::segment_evidence_list& received) const;
+    void merge_evidence(const admission::crash_evidence_list& received) const;
     void merge_limits(const admission::target_limit_list& received) const;
     reply make_reply(const report& message, const std::string& data_centre,
                      helpers::time_point now);
@@ -177,8 +177,8 @@
     exchange_timing timing;
     std::function<target_counts()> own_counts;
     peer_counts_callback peer_counts_handler;
-    std::function<admission::segment_evidence_list()> own_evidence;
-    std::function<void(const admission::segment_evidence_list&)> evidence_handler;
+    std::function<admission::crash_evidence_list()> own_evidence;
+    std::function<void(const admission::crash_evidence_list&)> evidence_handler;
     std::function<admission::target_limit_list()> own_limits;
     std::function<void(const admission::target_limit_list&)> limits_handler;
     std::array<feed_log, feed_count> logs;
--- a/src/exchange/message.hpp
+++ b/src/exchange/message.hpp
@@ -3,8 +3,8 @@
 // segments, and the limits that targets have named.
 #pragma once
 
+#include "admission/crash_quarantine.hpp"
 #include "admission/fleet_outliers.hpp"
-#include "admission/segment_quarantine.hpp"
 #include "admission/target_limits.hpp"
 #include "discovery/feed.hpp"
 #include "exchange/feed_log.hpp"
@@ -47,7 +47,7 @@
     // Number of feeds that the sender knows; those after it are not sent to it.
     std::size_t known_feeds = feed_count;
     target_counts loads;
-    admission::segment_evidence_list evidence;
+    admission::crash_evidence_list evidence;
     admission::target_limit_list limits;
 };
 
@@ -71,7 +71,7 @@
     target_counts loads;
     // Upper bound of the requests in flight on any target that is not listed.
     std::uint32_t max_unlisted_in_flight = 0;
-    admission::segment_evidence_list evidence;
+    admission::crash_evidence_list evidence;
     admission::target_limit_list limits;
 };
 
--- a/src/gateway/prompt_guard.hpp
+++ b/src/gateway/crash_guard.hpp
@@ -2,7 +2,7 @@
 // quarantine of prompt segments, and logs its decisions.
 #pragma once
 
-#include "admission/segment_quarantine.hpp"
+#include "admission/crash_quarantine.hpp"
 #include "kernel/event.hpp"
 #include "kernel/loop.hpp"
 
@@ -12,11 +12,11 @@
 
 namespace samphirespool::gateway {
 
-class prompt_guard {
+class crash_guard {
 public:
-    using verdict = admission::segment_quarantine::verdict;
+    using verdict = admission::crash_quarantine::verdict;
 
-    prompt_guard(kernel::loop& loop, kernel::event_sink& events, std::string self);
+    crash_guard(kernel::loop& loop, kernel::event_sink& events, std::string self);
 
     void set_members(std::vector<std::string> names);
 
@@ -26,21 +26,21 @@
     // The response has got past its start.
     void on_under_way(const placement::prompt& prompt);
 
-    // Whether a request with this prompt may be sent; see segment_quarantine::check().
+    // Whether a request with this prompt may be sent; see crash_quarantine::check().
     verdict check(const placement::prompt& prompt);
     bool is_quarantined(const placement::prompt& prompt) const {
         return this->quarantine.is_quarantined(prompt);
     }
 
     // The evidence that this gateway shares, and that of its peers.
-    const admission::segment_evidence_list& evidence();
-    void merge(std::span<const admission::segment_evidence> received);
+    const admission::crash_evidence_list& evidence();
+    void merge(std::span<const admission::crash_evidence> received);
 
     // The state of segments, for the registry in the store.
-    std::optional<admission::segment_evidence> state_of(std::uint64_t segment) const {
+    std::optional<admission::crash_evidence> state_of(std::uint64_t segment) const {
         return this->quarantine.state_of(segment);
     }
-    std::vector<admission::segment_evidence> quarantined() const {
+    std::vector<admission::crash_evidence> quarantined() const {
         return this->quarantine.quarantined();
     }
 
@@ -53,9 +53,9 @@
 
     kernel::loop& loop;
     kernel::event_sink& events;
-    admission::segment_quarantine quarantine;
+    admission::crash_quarantine quarantine;
     // The latest result of evidence(), since a hub needs it for each reply.
-    admission::segment_evidence_list cached_evidence;
+    admission::crash_evidence_list cached_evidence;
     helpers::time_point cached_at{};
     std::uint64_t rejection_count = 0;
     std::uint64_t trial_count = 0;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -4,8 +4,8 @@
 
 #include "debug/json_log.hpp"
 #include "debug/metrics.hpp"
+#include "gateway/crash_guard.hpp"
 #include "gateway/fleet_state.hpp"
-#include "gateway/prompt_guard.hpp"
 #include "gateway/proxied_request.hpp"
 #include "gateway/quarantine_registry.hpp"
 #include "gateway/startup_queue.hpp"
@@ -60,7 +60,7 @@
     http::h2o_client target_client;
     discovery::target_catalog catalog;
     dispatcher dispatch;
-    prompt_guard prompts;
+    crash_guard prompts;
     wire::tcp_transport transport;
     wire::exchange_transport peer_link;
     fleet_state fleet;
--- a/src/gateway/object_codec.hpp
+++ b/src/gateway/object_codec.hpp
@@ -1,7 +1,7 @@
 // Converts the content of store objects to the gateway's types and back.
 #pragma once
 
-#include "admission/segment_quarantine.hpp"
+#include "admission/crash_quarantine.hpp"
 #include "discovery/target.hpp"
 #include "exchange/hub_order.hpp"
 #include "kernel/error.hpp"
@@ -26,9 +26,9 @@
     virtual std::string write_member(const exchange::member& self) const = 0;
     // The state of a prompt segment: generation, whether it is quarantined, depth and failed
     // trials.
-    virtual std::optional<admission::segment_evidence>
+    virtual std::optional<admission::crash_evidence>
     read_segment(std::string_view name, std::string_view content, kernel::error& reason) const = 0;
-    virtual std::string write_segment(const admission::segment_evidence& state) const = 0;
+    virtual std::string write_segment(const admission::crash_evidence& state) const = 0;
 };
 
 } // namespace samphirespool::gateway
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -129,7 +129,7 @@
 
 bool proxied_request::admit_prompt() {
     this->prompt_verdict = this->services.prompts.check(this->metadata.prompt);
-    if (this->prompt_verdict != prompt_guard::verdict::quarantined)
+    if (this->prompt_verdict != crash_guard::verdict::quarantined)
         return true;
     this->finish_without_response(
         this->may_have_run ? attempt_outcome::maybe_run : attempt_outcome::not_run,
@@ -240,7 +240,7 @@
         return false;
     }
     // The segment may have been quarantined while the request was queued.
-    if (this->prompt_verdict != prompt_guard::verdict::trial &&
+    if (this->prompt_verdict != crash_guard::verdict::trial &&
         this->services.prompts.is_quarantined(this->metadata.prompt)) {
         this->defer([this] {
             this->close_attempt(attempt_outcome::not_run,
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -3,9 +3,9 @@
 // or if its route is idempotent.
 #pragma once
 
+#include "gateway/crash_guard.hpp"
 #include "gateway/dispatcher.hpp"
 #include "gateway/event_splitter.hpp"
-#include "gateway/prompt_guard.hpp"
 #include "gateway/request_metadata.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
@@ -42,7 +42,7 @@
     kernel::event_sink& events;
     http::client& targets;
     dispatcher& dispatch;
-    prompt_guard& prompts;
+    crash_guard& prompts;
     discovery::target_catalog& catalog;
     const header_names& names;
     gateway_counters& counters;
@@ -178,7 +178,7 @@
     bool has_head = false;
     // The response to the current attempt has got past its start.
     bool was_under_way = false;
-    prompt_guard::verdict prompt_verdict = prompt_guard::verdict::admitted;
+    crash_guard::verdict prompt_verdict = crash_guard::verdict::admitted;
     // Events of the earlier attempts.
     std::uint64_t earlier_events = 0;
     // The current attempt has reached its target.
--- a/src/gateway/quarantine_registry.cpp
+++ b/src/gateway/quarantine_registry.cpp
@@ -19,7 +19,7 @@
 
 quarantine_registry::quarantine_registry(kernel::loop& loop, kernel::event_sink& events,
                                          discovery::feed_source& store, const object_codec& codec,
-                                         prompt_guard& prompts)
+                                         crash_guard& prompts)
     : loop(loop), events(events), store(store), codec(codec), prompts(prompts) {}
 
 quarantine_registry::~quarantine_registry() {
@@ -33,7 +33,7 @@
 void quarantine_registry::set_entries(const std::map<std::string, std::string>& contents) {
     const auto now = this->loop.time().now();
     auto former = std::exchange(this->listed, {});
-    std::vector<admission::segment_evidence> news;
+    std::vector<admission::crash_evidence> news;
     for (const auto& [name, content] : contents) {
         kernel::error reason;
         const auto state = this->codec.read_segment(name, content, reason);
@@ -42,9 +42,9 @@
                                {{"segment", name}, {"reason", reason.detail}});
             continue;
         }
-        const auto before = former.find(state->segment);
+        const auto before = former.find(state->suspect);
         const bool is_known = before != former.end() && before->second.state == *state;
-        this->listed[state->segment] = {*state, is_known ? before->second.changed_at : now};
+        this->listed[state->suspect] = {*state, is_known ? before->second.changed_at : now};
         if (!is_known)
             news.push_back(*state);
     }
@@ -63,7 +63,7 @@
 
 bool quarantine_registry::write_next() {
     for (const auto& state : this->prompts.quarantined()) {
-        const auto found = this->listed.find(state.segment);
+        const auto found = this->listed.find(state.suspect);
         const bool exists = found != this->listed.end();
         const bool is_recorded = exists && found->second.state.is_quarantined &&
                                  found->second.state.generation == state.generation;
@@ -101,15 +101,15 @@
     return false;
 }
 
-void quarantine_registry::write(const admission::segment_evidence& state, bool exists) {
+void quarantine_registry::write(const admission::crash_evidence& state, bool exists) {
     this->is_calling = true;
-    const auto name = helpers::to_hex(state.segment);
+    const auto name = helpers::to_hex(state.suspect);
     const auto content = this->codec.write_segment(state);
     const auto done = [this, state](const discovery::feed_result& result) {
         // Until the feed shows the entry, it is not written again.
         if (!std::holds_alternative<kernel::error>(result))
-            this->listed[state.segment] = {state, this->loop.time().now()};
-        this->on_finished(state.segment, result);
+            this->listed[state.suspect] = {state, this->loop.time().now()};
+        this->on_finished(state.suspect, result);
     };
     const auto kind = discovery::collection::quarantine;
     this->call = exists ? this->store.replace(kind, name, content, done)
--- a/src/gateway/quarantine_registry.hpp
+++ b/src/gateway/quarantine_registry.hpp
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "discovery/feed.hpp"
+#include "gateway/crash_guard.hpp"
 #include "gateway/object_codec.hpp"
-#include "gateway/prompt_guard.hpp"
 #include "kernel/event.hpp"
 #include "kernel/loop.hpp"
 
@@ -19,7 +19,7 @@
 public:
     quarantine_registry(kernel::loop& loop, kernel::event_sink& events,
                         discovery::feed_source& store, const object_codec& codec,
-                        prompt_guard& prompts);
+                        crash_guard& prompts);
     ~quarantine_registry();
     quarantine_registry(const quarantine_registry&) = delete;
     quarantine_registry& operator=(const quarantine_registry&) = delete;
@@ -34,7 +34,7 @@
 
 private:
     struct listed_entry {
-        admission::segment_evidence state;
+        admission::crash_evidence state;
         helpers::time_point changed_at{};
     };
 
@@ -42,14 +42,14 @@
     // Writes one entry that is missing or out of date; returns whether there was one.
     bool write_next();
     bool remove_next_released();
-    void write(const admission::segment_evidence& state, bool exists);
+    void write(const admission::crash_evidence& state, bool exists);
     void on_finished(std::uint64_t segment, const discovery::feed_result& result);
 
     kernel::loop& loop;
     kernel::event_sink& events;
     discovery::feed_source& store;
     const object_codec& codec;
-    prompt_guard& prompts;
+    crash_guard& prompts;
     std::function<bool()> is_writer;
     std::map<std::uint64_t, listed_entry> listed;
     // The latest call; a finished call is freed when the next one starts.
--- a/src/wire/exchange_codec.cpp
+++ b/src/wire/exchange_codec.cpp
@@ -56,24 +56,24 @@
     return result;
 }
 
-std::vector<fb::segment_evidence> to_wire(const admission::segment_evidence_list& evidence) {
-    std::vector<fb::segment_evidence> result;
+std::vector<fb::crash_evidence> to_wire(const admission::crash_evidence_list& evidence) {
+    std::vector<fb::crash_evidence> result;
     result.reserve(evidence.size());
     for (const auto& each : evidence)
-        result.emplace_back(each.segment, each.incarnation_hash, to_ms(each.age), each.generation,
+        result.emplace_back(each.suspect, each.incarnation_hash, to_ms(each.age), each.generation,
                             each.depth, each.failed_trials, each.is_quarantined, each.had_begun);
     return result;
 }
 
-using wire_evidence = flatbuffers::Vector<const fb::segment_evidence*>;
+using wire_evidence = flatbuffers::Vector<const fb::crash_evidence*>;
 
-admission::segment_evidence_list from_wire(const wire_evidence* evidence) {
-    admission::segment_evidence_list result;
+admission::crash_evidence_list from_wire(const wire_evidence* evidence) {
+    admission::crash_evidence_list result;
     if (evidence == nullptr)
         return result;
     result.reserve(evidence->size());
     for (const auto* each : *evidence)
-        result.push_back({each->segment(), each->generation(), each->is_quarantined(),
+        result.push_back({each->suspect(), each->generation(), each->is_quarantined(),
                           each->target(), each->depth(), each->failed_trials(), each->had_begun(),
                           std::chrono::milliseconds(each->age_ms())});
     return result;
--- a/tests/admission/test_segment_quarantine.cpp
+++ b/tests/admission/test_crash_quarantine.cpp
@@ -1,5 +1,5 @@
 // Tests of the quarantine of prompt segments, with an injected clock and without a network.
-#include "admission/segment_quarantine.hpp"
+#include "admission/crash_quarantine.hpp"
 
 #include <doctest/doctest.h>
 
@@ -9,8 +9,8 @@
 
 using namespace samphirespool;
 using namespace std::chrono_literals;
-using admission::segment_quarantine;
-using verdict = segment_quarantine::verdict;
+using admission::crash_quarantine;
+using verdict = crash_quarantine::verdict;
 
 namespace {
 
@@ -27,9 +27,9 @@
 
 const auto harmful = prompt_of({common, bad});
 
-class quarantine_under_test : public segment_quarantine {
+class quarantine_under_test : public crash_quarantine {
 public:
-    explicit quarantine_under_test(const std::string& name = "g1") : segment_quarantine(name) {}
+    explicit quarantine_under_test(const std::string& name = "g1") : crash_quarantine(name) {}
 
     // Loses targets `first` to `last` at the start of the response to the prompt, a second apart.
     void lose(const placement::prompt& prompt, std::uint32_t first, std::uint32_t last,
@@ -222,7 +222,7 @@
                     each.on_under_way(harmful, now);
                     return each.evidence(now);
                 }
-        return admission::segment_evidence_list{};
+        return admission::crash_evidence_list{};
     }();
     for (auto& each : gateways) {
         each.merge(harmless_again, now);
@@ -242,17 +242,17 @@
     }
     // Guards against evidence of many sound segments that crowds out the harmful one's.
     const auto sent = quarantine.evidence(quarantine.now);
-    CHECK(sent.size() <= segment_quarantine::max_sent_evidence);
+    CHECK(sent.size() <= crash_quarantine::max_sent_evidence);
     REQUIRE_FALSE(sent.empty());
-    CHECK(sent.front().segment == bad);
+    CHECK(sent.front().suspect == bad);
     CHECK(quarantine.check(harmful, quarantine.now) == verdict::quarantined);
 }
 
 // Guards against a quarantine that was read from the store, without its losses, and never ends.
 TEST_CASE("segment quarantine: a successful trial releases a segment whose losses are not known") {
     quarantine_under_test quarantine;
-    admission::segment_evidence listed;
-    listed.segment = bad;
+    admission::crash_evidence listed;
+    listed.suspect = bad;
     listed.is_quarantined = true;
     quarantine.merge(std::vector{listed}, quarantine.now);
     CHECK(quarantine.check(harmful, quarantine.now) == verdict::quarantined);
@@ -280,5 +280,5 @@
     // Only the latest loss is sent, since nothing is news.
     const auto sent = quarantine.evidence(quarantine.now);
     CHECK(std::count_if(sent.begin(), sent.end(),
-                        [](const auto& each) { return each.segment == bad; }) == 1);
+                        [](const auto& each) { return each.suspect == bad; }) == 1);
 }
--- a/tests/admission/test_crashing_fleet.cpp
+++ b/tests/admission/test_crashing_fleet.cpp
@@ -2,7 +2,7 @@
 // respond to them, while gateways restart, freeze, are cut off from each other and join. Checks
 // what the platform's rules promise: few further requests with the segment, and sound ones beside
 // them.
-#include "admission/segment_quarantine.hpp"
+#include "admission/crash_quarantine.hpp"
 
 #include <doctest/doctest.h>
 
@@ -14,7 +14,7 @@
 
 using namespace samphirespool;
 using namespace std::chrono_literals;
-using admission::segment_quarantine;
+using admission::crash_quarantine;
 
 namespace {
 
@@ -76,7 +76,7 @@
 private:
     struct gateway {
         explicit gateway(std::string name) : quarantine(std::move(name)) {}
-        segment_quarantine quarantine;
+        crash_quarantine quarantine;
         helpers::time_point disturbed_until{};
         helpers::time_point frozen_until{};
         helpers::time_point cut_until{};
@@ -98,7 +98,7 @@
         helpers::time_point done_at{};
         bool was_under_way = false;
         int attempts = 1;
-        segment_quarantine::verdict verdict = segment_quarantine::verdict::admitted;
+        crash_quarantine::verdict verdict = crash_quarantine::verdict::admitted;
     };
 
     std::size_t pick(std::size_t count) {
@@ -126,7 +126,7 @@
         auto end = this->now;
         switch (this->pick(4)) {
         case 0:
-            chosen.quarantine = segment_quarantine(this->names[index]);
+            chosen.quarantine = crash_quarantine(this->names[index]);
             chosen.quarantine.set_members(this->names);
             break;
         case 1:
@@ -174,7 +174,7 @@
 
     void write_store(const gateway& from) {
         for (const auto& each : from.quarantine.quarantined())
-            this->store[each.segment] = each;
+            this->store[each.suspect] = each;
     }
 
     void read_store(gateway& reader) {
@@ -215,7 +215,7 @@
     bool start(request started) {
         auto& from = this->gateways[started.gateway];
         started.verdict = from.quarantine.check(started.prompt, this->now);
-        if (started.verdict == segment_quarantine::verdict::quarantined)
+        if (started.verdict == crash_quarantine::verdict::quarantined)
             return false;
         std::vector<std::size_t> up;
         for (std::size_t i = 0; i < this->engines.size(); ++i)
@@ -286,7 +286,7 @@
     std::vector<engine> engines;
     std::uint32_t last_incarnation = 0;
     std::list<request> in_progress;
-    std::map<std::uint64_t, admission::segment_evidence> store;
+    std::map<std::uint64_t, admission::crash_evidence> store;
 };
 
 void check_seeds(const scenario& given, unsigned seeds) {
--- a/tests/exchange/test_exchange_node.cpp
+++ b/tests/exchange/test_exchange_node.cpp
@@ -165,7 +165,7 @@
     discovery::feed_watch members;
     discovery::feed_watch quarantined;
     exchange::exchange_node node;
-    admission::segment_quarantine quarantine{this->self.name};
+    admission::crash_quarantine quarantine{this->self.name};
     exchange::target_counts counts;
     exchange::target_counts peer_counts;
     std::uint64_t store_revision = 5;
@@ -224,9 +224,9 @@
     }
     // The gateway loses a target while it processes a prompt with a harmful segment.
     void lose_target(std::size_t gateway, std::uint32_t target) {
-        this->at(gateway).quarantine.on_target_lost(
-            harmful, target, true, admission::segment_quarantine::verdict::admitted,
-            this->loop.time().now());
+        this->at(gateway).quarantine.on_target_lost(harmful, target, true,
+                                                    admission::crash_quarantine::verdict::admitted,
+                                                    this->loop.time().now());
     }
     std::size_t quarantining() const {
         return static_cast<std::size_t>(
@@ -638,7 +638,7 @@
     }
     gateways.run_for(20s);
     CHECK(gateways.quarantining() == gateways.nodes.size() - 1);
-    gateways.at(4).quarantine = admission::segment_quarantine("g4");
+    gateways.at(4).quarantine = admission::crash_quarantine("g4");
     gateways.at(8).link.is_disconnected = false;
     gateways.run_for(2s);
     CHECK(gateways.quarantining() == gateways.nodes.size());
--- a/tests/gateway/gateway_harness.hpp
+++ b/tests/gateway/gateway_harness.hpp
@@ -210,7 +210,7 @@
     std::shared_ptr<const routing::route_table> table;
     discovery::target_catalog catalog;
     gateway::dispatcher dispatch;
-    gateway::prompt_guard prompts{this->loop, this->events, "g1"};
+    gateway::crash_guard prompts{this->loop, this->events, "g1"};
     scripted_client targets;
     gateway::header_names names;
     gateway::gateway_counters counters;
--- a/tests/gateway/test_crashing_prompts.cpp
+++ b/tests/gateway/test_crashing_prompts.cpp
@@ -141,7 +141,7 @@
     prompt.segments = {{0xa1, 100}, {0xbad, 50}, {0x2, 10}};
     for (std::uint32_t target = 1; target <= 3; ++target) {
         harness.prompts.on_target_lost(prompt, target, true,
-                                       gateway::prompt_guard::verdict::admitted);
+                                       gateway::crash_guard::verdict::admitted);
         harness.loop.advance(200ms);
     }
     CHECK_FALSE(call.listener->on_connected());
--- a/tests/gateway/test_quarantine_registry.cpp
+++ b/tests/gateway/test_quarantine_registry.cpp
@@ -12,7 +12,7 @@
 using namespace std::chrono_literals;
 using discovery::collection;
 using tests::page_of;
-using verdict = gateway::prompt_guard::verdict;
+using verdict = gateway::crash_guard::verdict;
 
 namespace {
 
@@ -55,7 +55,7 @@
     kernel::null_sink events;
     tests::fake_feed_source source;
     platform::json_object_codec codec;
-    gateway::prompt_guard prompts;
+    gateway::crash_guard prompts;
     gateway::quarantine_registry registry;
     std::uint64_t revision = 1;
 };
