--- a/src/discovery/feed.hpp
+++ b/src/discovery/feed.hpp
@@ -25,7 +25,7 @@
     departures,
     // The gateways of the fleet.
     members,
-    // Prompt segments that crash targets.
+    // Prompt segments and requests that crash targets.
     quarantine,
 };
 
--- a/src/exchange/exchange_node.hpp
+++ b/src/exchange/exchange_node.hpp
@@ -83,7 +83,7 @@
         this->peer_counts_handler = std::move(handler);
     }
 
-    // Evidence against prompt segments goes with each report and reply. The source returns all that
+    // Evidence against suspects goes with each report and reply. The source returns all that
     // this gateway knows, so that it reaches all gateways through any that are connected.
     void set_evidence_source(std::function<admission::crash_evidence_list()> source) {
         this->own_evidence = std::move(source);
--- a/src/exchange/message.hpp
+++ b/src/exchange/message.hpp
@@ -1,6 +1,6 @@
 // Messages of the load exchange between gateways: requests in flight and recent results per target,
-// the feed updates that a gateway has read from the store, evidence against prompt
-// segments, and the limits that targets have named.
+// the feed updates that a gateway has read from the store, evidence against what crashes targets,
+// and the limits that targets have named.
 #pragma once
 
 #include "admission/crash_quarantine.hpp"
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -1,4 +1,4 @@
-// Connects the quarantine of prompt segments with the requests, the clock and the log.
+// Connects the crash quarantine with the requests, the clock and the log.
 #include "gateway/crash_guard.hpp"
 
 #include "helpers/hex.hpp"
@@ -20,24 +20,32 @@
     this->quarantine.set_members(std::move(names));
 }
 
-void crash_guard::on_target_lost(const placement::prompt& prompt, std::uint32_t incarnation_hash,
-                                 bool had_begun, verdict admitted_as) {
-    this->quarantine.on_target_lost(prompt, incarnation_hash, had_begun, admitted_as,
+void crash_guard::on_target_lost(std::span<const admission::suspect> request,
+                                 std::uint32_t incarnation_hash, bool had_begun,
+                                 verdict admitted_as) {
+    this->quarantine.on_target_lost(request, incarnation_hash, had_begun, admitted_as,
                                     this->loop.time().now());
     this->log_transitions();
 }
 
-void crash_guard::on_under_way(const placement::prompt& prompt) {
-    this->quarantine.on_under_way(prompt, this->loop.time().now());
+void crash_guard::on_under_way(std::span<const admission::suspect> request) {
+    this->quarantine.on_under_way(request, this->loop.time().now());
     this->log_transitions();
 }
 
-crash_guard::verdict crash_guard::check(const placement::prompt& prompt) {
-    const auto result = this->quarantine.check(prompt, this->loop.time().now());
-    if (result == verdict::quarantined)
-        ++this->rejection_count;
-    if (result == verdict::trial)
+crash_guard::decision crash_guard::check(std::span<const admission::suspect> request,
+                                         std::string_view request_id) {
+    const auto result = this->quarantine.check(request, this->loop.time().now());
+    const bool is_request = result.cause && result.cause->depth == admission::request_depth;
+    if (result.result == verdict::quarantined)
+        ++(is_request ? this->request_rejection_count : this->prompt_rejection_count);
+    if (result.result == verdict::trial) {
         ++this->trial_count;
+        this->events.write(kernel::severity::info, "quarantine.tried", std::nullopt,
+                           {{"request_id", std::string(request_id)},
+                            {is_request ? "digest" : "segment",
+                             helpers::to_hex(result.cause ? result.cause->id : 0)}});
+    }
     return result;
 }
 
@@ -56,11 +64,15 @@
 }
 
 void crash_guard::log_transitions() {
-    for (const auto& each : this->quarantine.take_transitions())
-        this->events.write(
-            each.is_quarantined ? kernel::severity::warning : kernel::severity::info,
-            each.is_quarantined ? "segment.quarantined" : "segment.released", std::nullopt,
-            {{"segment", helpers::to_hex(each.suspect)}, {"losses", std::uint64_t{each.losses}}});
+    for (const auto& each : this->quarantine.take_transitions()) {
+        const bool is_request = each.changed.depth == admission::request_depth;
+        const auto* quarantined = is_request ? "request.quarantined" : "segment.quarantined";
+        const auto* released = is_request ? "request.released" : "segment.released";
+        this->events.write(each.is_quarantined ? kernel::severity::warning : kernel::severity::info,
+                           each.is_quarantined ? quarantined : released, std::nullopt,
+                           {{is_request ? "digest" : "segment", helpers::to_hex(each.changed.id)},
+                            {"losses", std::uint64_t{each.losses}}});
+    }
 }
 
 } // namespace samphirespool::gateway
--- a/src/gateway/crash_guard.hpp
+++ b/src/gateway/crash_guard.hpp
@@ -1,5 +1,5 @@
-// Keeps requests whose prompts crash targets away from them: passes what happens to requests to the
-// quarantine of prompt segments, and logs its decisions.
+// Keeps requests that crash targets away from them: passes what happens to requests to the crash
+// quarantine, and logs its decisions.
 #pragma once
 
 #include "admission/crash_quarantine.hpp"
@@ -8,6 +8,7 @@
 
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace samphirespool::gateway {
@@ -15,37 +16,41 @@
 class crash_guard {
 public:
     using verdict = admission::crash_quarantine::verdict;
+    using decision = admission::crash_quarantine::decision;
 
     crash_guard(kernel::loop& loop, kernel::event_sink& events, std::string self);
 
     void set_members(std::vector<std::string> names);
 
     // The connection to the target was lost before the response was under way.
-    void on_target_lost(const placement::prompt& prompt, std::uint32_t incarnation_hash,
+    void on_target_lost(std::span<const admission::suspect> request, std::uint32_t incarnation_hash,
                         bool had_begun, verdict admitted_as);
     // The response has got past its start.
-    void on_under_way(const placement::prompt& prompt);
+    void on_under_way(std::span<const admission::suspect> request);
 
-    // Whether a request with this prompt may be sent; see crash_quarantine::check().
-    verdict check(const placement::prompt& prompt);
-    bool is_quarantined(const placement::prompt& prompt) const {
-        return this->quarantine.is_quarantined(prompt);
+    // Whether a request with these suspects may be sent; see crash_quarantine::check().
+    // `request_id` is for the log.
+    decision check(std::span<const admission::suspect> request, std::string_view request_id);
+    bool is_quarantined(std::span<const admission::suspect> request) const {
+        return this->quarantine.is_quarantined(request);
     }
 
     // The evidence that this gateway shares, and that of its peers.
     const admission::crash_evidence_list& evidence();
     void merge(std::span<const admission::crash_evidence> received);
 
-    // The state of segments, for the registry in the store.
-    std::optional<admission::crash_evidence> state_of(std::uint64_t segment) const {
-        return this->quarantine.state_of(segment);
+    // The state of suspects, for the registry in the store.
+    std::optional<admission::crash_evidence> state_of(std::uint64_t suspect) const {
+        return this->quarantine.state_of(suspect);
     }
     std::vector<admission::crash_evidence> quarantined() const {
         return this->quarantine.quarantined();
     }
 
-    std::size_t quarantined_segments() const { return this->quarantine.quarantined_count(); }
-    const std::uint64_t& rejections() const { return this->rejection_count; }
+    std::size_t quarantined_segments() const { return this->quarantine.quarantined_segments(); }
+    std::size_t quarantined_requests() const { return this->quarantine.quarantined_requests(); }
+    const std::uint64_t& prompt_rejections() const { return this->prompt_rejection_count; }
+    const std::uint64_t& request_rejections() const { return this->request_rejection_count; }
     const std::uint64_t& trials() const { return this->trial_count; }
 
 private:
@@ -57,7 +62,8 @@
     // The latest result of evidence(), since a hub needs it for each reply.
     admission::crash_evidence_list cached_evidence;
     helpers::time_point cached_at{};
-    std::uint64_t rejection_count = 0;
+    std::uint64_t prompt_rejection_count = 0;
+    std::uint64_t request_rejection_count = 0;
     std::uint64_t trial_count = 0;
 };
 
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -78,7 +78,7 @@
       drained_data_centres(
           [this](const auto& objects) { this->apply_drained_data_centres(objects); }),
       members([this](const auto& objects) { this->set_members(objects); }),
-      quarantined_segments([this](const auto& objects) {
+      quarantined_suspects([this](const auto& objects) {
           if (this->quarantine_handler)
               this->quarantine_handler(objects);
       }),
@@ -94,7 +94,7 @@
       member_feed(services.loop, services.events, this->store_gate, services.feeds, this->members,
                   discovery::collection::members, member_timing(limits)),
       quarantine_feed(services.loop, services.events, this->store_gate, services.feeds,
-                      this->quarantined_segments, discovery::collection::quarantine,
+                      this->quarantined_suspects, discovery::collection::quarantine,
                       quarantine_timing(limits)) {
     this->catalog.on_change([this] { this->dispatch.serve_queue(); });
 }
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -1,5 +1,5 @@
 // The gateway's view of the fleet: the current configuration, the targets, the drained data
-// centres, the member list of gateways and the quarantined prompt segments. Each is followed by a
+// centres, the member list of gateways and the quarantined suspects. Each is followed by a
 // feed watch.
 #pragma once
 
@@ -61,7 +61,7 @@
         this->members_handler = std::move(handler);
     }
 
-    // The handler receives all quarantined prompt segments that the store has, by name.
+    // The handler receives all quarantined suspects that the store has, by name.
     void
     on_quarantine_changed(std::function<void(const std::map<std::string, std::string>&)> handler) {
         this->quarantine_handler = std::move(handler);
@@ -126,7 +126,7 @@
     target_receiver targets;
     collection_receiver drained_data_centres;
     collection_receiver members;
-    collection_receiver quarantined_segments;
+    collection_receiver quarantined_suspects;
     discovery::source_gate store_gate;
     discovery::feed_watch configuration_feed;
     discovery::feed_watch target_feed;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -90,7 +90,7 @@
       target_client(loop, target_limits()),
       catalog(events, {}),
       dispatch(loop, this->random, events, this->catalog, dispatch_settings_of(settings)),
-      prompts(loop, events, settings.name),
+      crashes(loop, events, settings.name),
       transport(loop, hybrid_time, this->random,
                 {settings.peer_listen, new_incarnation(loop.time()), std::move(keys)}),
       peer_link(this->transport),
@@ -98,13 +98,13 @@
             own_member(settings), freshness_of(settings)),
       load_exchange(loop, events, this->peer_link, this->fleet.feeds(), this->fleet.gate(),
                     settings.name, exchange_timing_of(settings)),
-      recorded_segments(loop, events, feeds, codec, this->prompts),
+      quarantines(loop, events, feeds, codec, this->crashes),
       services{loop,
                this->random,
                events,
                this->target_client,
                this->dispatch,
-               this->prompts,
+               this->crashes,
                this->catalog,
                this->names,
                this->counters,
@@ -122,14 +122,14 @@
         names.reserve(members.size());
         for (const auto& each : members)
             names.push_back(each.name);
-        this->prompts.set_members(std::move(names));
+        this->crashes.set_members(std::move(names));
     });
     this->fleet.on_quarantine_changed(
-        [this](const auto& entries) { this->recorded_segments.set_entries(entries); });
-    this->recorded_segments.set_writer_check([this] { return this->load_exchange.is_hub(); });
-    this->load_exchange.set_evidence_source([this] { return this->prompts.evidence(); });
+        [this](const auto& entries) { this->quarantines.set_entries(entries); });
+    this->quarantines.set_writer_check([this] { return this->load_exchange.is_hub(); });
+    this->load_exchange.set_evidence_source([this] { return this->crashes.evidence(); });
     this->load_exchange.on_evidence(
-        [this](const auto& received) { this->prompts.merge(received); });
+        [this](const auto& received) { this->crashes.merge(received); });
     this->load_exchange.on_member_absent(
         [this](const std::string& name) { this->fleet.remove_member(name); });
     this->load_exchange.set_limit_source([this] { return this->dispatch.limit_announcements(); });
@@ -170,12 +170,19 @@
           this->dispatch.suspicions());
     count("prompts_quarantined_total",
           "Requests rejected because a segment of their prompt has crashed several targets.",
-          this->prompts.rejections());
+          this->crashes.prompt_rejections());
+    count("requests_quarantined_total",
+          "Requests rejected because earlier attempts of the same request have crashed several "
+          "targets.",
+          this->crashes.request_rejections());
     count("prompt_trials_total", "Requests sent to find out whether a quarantine can end.",
-          this->prompts.trials());
+          this->crashes.trials());
     this->metric_registry.watch_gauge(
         {"quarantined_segments", "Prompt segments that are quarantined."},
-        [this] { return static_cast<double>(this->prompts.quarantined_segments()); });
+        [this] { return static_cast<double>(this->crashes.quarantined_segments()); });
+    this->metric_registry.watch_gauge(
+        {"quarantined_requests", "Requests that are quarantined, by their digest."},
+        [this] { return static_cast<double>(this->crashes.quarantined_requests()); });
     this->metric_registry.watch_gauge(
         {"limited_targets", "Targets that name a limit of the requests that they take."},
         [this] { return static_cast<double>(this->dispatch.limited_targets()); });
@@ -243,7 +250,7 @@
         return false;
     }
     this->fleet.start();
-    this->recorded_segments.start();
+    this->quarantines.start();
     this->load_exchange.start();
     return true;
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -60,12 +60,12 @@
     http::h2o_client target_client;
     discovery::target_catalog catalog;
     dispatcher dispatch;
-    crash_guard prompts;
+    crash_guard crashes;
     wire::tcp_transport transport;
     wire::exchange_transport peer_link;
     fleet_state fleet;
     exchange::exchange_node load_exchange;
-    quarantine_registry recorded_segments;
+    quarantine_registry quarantines;
     gateway_counters counters;
     latency_recorders latencies;
     bool shutting_down = false;
--- a/src/gateway/object_codec.hpp
+++ b/src/gateway/object_codec.hpp
@@ -24,11 +24,11 @@
     virtual std::optional<exchange::member>
     read_member(std::string_view name, std::string_view content, kernel::error& reason) const = 0;
     virtual std::string write_member(const exchange::member& self) const = 0;
-    // The state of a prompt segment: generation, whether it is quarantined, depth and failed
+    // The state of a suspect: generation, whether it is quarantined, depth and failed
     // trials.
     virtual std::optional<admission::crash_evidence>
-    read_segment(std::string_view name, std::string_view content, kernel::error& reason) const = 0;
-    virtual std::string write_segment(const admission::crash_evidence& state) const = 0;
+    read_suspect(std::string_view name, std::string_view content, kernel::error& reason) const = 0;
+    virtual std::string write_suspect(const admission::crash_evidence& state) const = 0;
 };
 
 } // namespace samphirespool::gateway
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -34,6 +34,15 @@
 // Longer lists of segments are cut off in the log.
 constexpr std::size_t max_logged_segments = 8;
 
+// A held request asks again after this time.
+constexpr helpers::duration hold_interval = std::chrono::milliseconds(40);
+
+kernel::error quarantine_reason(const crash_guard::decision& decision) {
+    if (decision.cause && decision.cause->depth == admission::request_depth)
+        return {error_kind::request_quarantined, "the request has crashed several targets"};
+    return {error_kind::prompt_quarantined, "a segment of the prompt has crashed several targets"};
+}
+
 // The ids of the first segments of a prompt, in hexadecimal and separated by commas.
 std::string segment_list(const placement::prompt& from) {
     std::string result;
@@ -111,6 +120,7 @@
     if (!this->check_api_key())
         return false;
     this->digest = request_digest(incoming, this->organisation);
+    this->suspects = admission::suspects_of(this->metadata.prompt, this->digest);
     return true;
 }
 
@@ -127,29 +137,40 @@
     return false;
 }
 
-bool proxied_request::admit_prompt() {
-    this->prompt_verdict = this->services.prompts.check(this->metadata.prompt);
-    if (this->prompt_verdict != crash_guard::verdict::quarantined)
+bool proxied_request::pass_quarantine() {
+    const auto decision = this->services.crashes.check(this->suspects, this->metadata.id);
+    this->quarantine_verdict = decision.result;
+    if (decision.result == crash_guard::verdict::admitted ||
+        decision.result == crash_guard::verdict::trial)
         return true;
-    this->finish_without_response(
-        this->may_have_run ? attempt_outcome::maybe_run : attempt_outcome::not_run,
-        {error_kind::prompt_quarantined, "a segment of the prompt has crashed several targets"});
+    if (decision.result == crash_guard::verdict::held &&
+        this->services.loop.time().now() + hold_interval < this->queue_deadline()) {
+        this->defer([this] { this->request_target(); }, hold_interval);
+        return false;
+    }
+    this->finish_without_response(this->may_have_run ? attempt_outcome::maybe_run
+                                                     : attempt_outcome::not_run,
+                                  quarantine_reason(decision));
     return false;
 }
 
-void proxied_request::request_target() {
-    if (!this->admit_prompt())
-        return;
-    const auto now = this->services.loop.time().now();
+helpers::time_point proxied_request::queue_deadline() const {
     const auto wait_limit = std::min(
         max_queue_wait,
         std::max(this->route->objective, (this->deadline - this->arrived_at) / queue_wait_divisor));
+    return std::min(this->arrived_at + wait_limit, this->deadline);
+}
+
+void proxied_request::request_target() {
+    if (!this->pass_quarantine())
+        return;
+    const auto now = this->services.loop.time().now();
     dispatch_request request;
     request.service = this->service;
     request.prompt = &this->metadata.prompt;
     request.priority = this->priority;
     request.organisation = helpers::id_of<helpers::organisation_id>(this->organisation);
-    request.queue_deadline = std::min(this->arrived_at + wait_limit, this->deadline);
+    request.queue_deadline = this->queue_deadline();
     request.objective_assign_by =
         this->arrived_at + this->route->objective / objective_queue_divisor;
     if (this->response_started) {
@@ -239,12 +260,12 @@
         });
         return false;
     }
-    // The segment may have been quarantined while the request was queued.
-    if (this->prompt_verdict != crash_guard::verdict::trial &&
-        this->services.prompts.is_quarantined(this->metadata.prompt)) {
+    // A suspect may have been quarantined while the request was queued.
+    if (this->quarantine_verdict != crash_guard::verdict::trial &&
+        this->services.crashes.is_quarantined(this->suspects)) {
         this->defer([this] {
             this->close_attempt(attempt_outcome::not_run,
-                                {error_kind::prompt_quarantined, "the prompt is quarantined"},
+                                {error_kind::request_quarantined, "a suspect was quarantined"},
                                 attempt_result::neutral);
             this->request_target();
         });
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -42,7 +42,7 @@
     kernel::event_sink& events;
     http::client& targets;
     dispatcher& dispatch;
-    crash_guard& prompts;
+    crash_guard& crashes;
     discovery::target_catalog& catalog;
     const header_names& names;
     gateway_counters& counters;
@@ -123,8 +123,11 @@
     // Cancels the call, logs the failure and returns the assignment to the dispatcher.
     void close_attempt(attempt_outcome outcome, const kernel::error& reason, attempt_result result);
     response_progress progress() const;
-    // Rejects or ends the request and returns false if its prompt is quarantined.
-    bool admit_prompt();
+    // Returns whether the request may be sent now. If it is quarantined, rejects or ends it; if it
+    // is held, asks again later.
+    bool pass_quarantine();
+    // Until when the request may wait for a target.
+    helpers::time_point queue_deadline() const;
     // The connection of the current attempt was lost, which may be the request's own doing.
     void report_target_lost();
     void report_under_way();
@@ -138,8 +141,9 @@
     void release(attempt_result result);
     void reject(const kernel::error& reason, kernel::request_outcome outcome);
     helpers::duration retry_after(kernel::error_kind reason) const;
-    // Runs the task in the next loop iteration; replaces a deferred task that has not run yet.
-    void defer(kernel::task work);
+    // Runs the task in the next loop iteration, or later; replaces a deferred task that has not run
+    // yet.
+    void defer(kernel::task work, helpers::duration delay = helpers::duration::zero());
     // Logs the result and calls finished_handler. No effect on a request that is already finished.
     void finish(std::string_view outcome, std::string_view reason);
     std::uint64_t elapsed_milliseconds() const;
@@ -178,7 +182,9 @@
     bool has_head = false;
     // The response to the current attempt has got past its start.
     bool was_under_way = false;
-    crash_guard::verdict prompt_verdict = crash_guard::verdict::admitted;
+    // What the request may crash its targets with.
+    admission::suspect_list suspects;
+    crash_guard::verdict quarantine_verdict = crash_guard::verdict::admitted;
     // Events of the earlier attempts.
     std::uint64_t earlier_events = 0;
     // The current attempt has reached its target.
--- a/src/gateway/proxied_request_finish.cpp
+++ b/src/gateway/proxied_request_finish.cpp
@@ -61,8 +61,9 @@
 
 helpers::duration proxied_request::retry_after(error_kind reason) const {
     // An overload, or a quarantine, does not end soon.
-    const bool is_overload =
-        reason == error_kind::queue_full || reason == error_kind::prompt_quarantined;
+    const bool is_overload = reason == error_kind::queue_full ||
+                             reason == error_kind::prompt_quarantined ||
+                             reason == error_kind::request_quarantined;
     const auto fraction = is_overload ? overload_retry_after_fraction : retry_after_fraction;
     const auto bound =
         std::clamp(std::chrono::duration_cast<helpers::duration>(this->time_left() * fraction),
@@ -102,13 +103,12 @@
     this->services.dispatch.on_attempt_finished(*released, result);
 }
 
-void proxied_request::defer(kernel::task work) {
+void proxied_request::defer(kernel::task work, helpers::duration delay) {
     this->services.loop.cancel(this->deferred_timer);
-    this->deferred_timer =
-        this->services.loop.schedule(helpers::duration::zero(), [this, work = std::move(work)] {
-            this->deferred_timer = 0;
-            work();
-        });
+    this->deferred_timer = this->services.loop.schedule(delay, [this, work = std::move(work)] {
+        this->deferred_timer = 0;
+        work();
+    });
 }
 
 std::uint64_t proxied_request::elapsed_milliseconds() const {
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -189,14 +189,14 @@
 void proxied_request::report_target_lost() {
     if (this->progress() == response_progress::under_way || !this->current_assignment)
         return;
-    this->services.prompts.on_target_lost(
-        this->metadata.prompt, this->current_assignment->target->incarnation_hash,
-        this->progress() == response_progress::begun, this->prompt_verdict);
+    this->services.crashes.on_target_lost(
+        this->suspects, this->current_assignment->target->incarnation_hash,
+        this->progress() == response_progress::begun, this->quarantine_verdict);
 }
 
 void proxied_request::report_under_way() {
     if (!std::exchange(this->was_under_way, true))
-        this->services.prompts.on_under_way(this->metadata.prompt);
+        this->services.crashes.on_under_way(this->suspects);
 }
 
 } // namespace samphirespool::gateway
--- a/src/gateway/quarantine_registry.cpp
+++ b/src/gateway/quarantine_registry.cpp
@@ -1,4 +1,4 @@
-// Compares the quarantined segments with their entries in the store, and writes the differences.
+// Compares the quarantined suspects with their entries in the store, and writes the differences.
 #include "gateway/quarantine_registry.hpp"
 
 #include "helpers/hex.hpp"
@@ -12,15 +12,15 @@
 
 constexpr helpers::duration reconcile_interval = std::chrono::milliseconds(200);
 constexpr helpers::duration retry_delay = std::chrono::seconds(1);
-// The entry of a released segment is kept for gateways that are cut off from their peers.
+// The entry of a released suspect is kept for gateways that are cut off from their peers.
 constexpr helpers::duration released_lifetime = std::chrono::minutes(2);
 
 } // namespace
 
 quarantine_registry::quarantine_registry(kernel::loop& loop, kernel::event_sink& events,
                                          discovery::feed_source& store, const object_codec& codec,
-                                         crash_guard& prompts)
-    : loop(loop), events(events), store(store), codec(codec), prompts(prompts) {}
+                                         crash_guard& crashes)
+    : loop(loop), events(events), store(store), codec(codec), crashes(crashes) {}
 
 quarantine_registry::~quarantine_registry() {
     this->loop.cancel(this->timer);
@@ -36,10 +36,10 @@
     std::vector<admission::crash_evidence> news;
     for (const auto& [name, content] : contents) {
         kernel::error reason;
-        const auto state = this->codec.read_segment(name, content, reason);
+        const auto state = this->codec.read_suspect(name, content, reason);
         if (!state) {
-            this->events.write(kernel::severity::warning, "segment.rejected", std::nullopt,
-                               {{"segment", name}, {"reason", reason.detail}});
+            this->events.write(kernel::severity::warning, "quarantine.rejected", std::nullopt,
+                               {{"suspect", name}, {"reason", reason.detail}});
             continue;
         }
         const auto before = former.find(state->suspect);
@@ -48,7 +48,7 @@
         if (!is_known)
             news.push_back(*state);
     }
-    this->prompts.merge(news);
+    this->crashes.merge(news);
 }
 
 void quarantine_registry::reconcile() {
@@ -62,19 +62,20 @@
 }
 
 bool quarantine_registry::write_next() {
-    for (const auto& state : this->prompts.quarantined()) {
+    for (const auto& state : this->crashes.quarantined()) {
         const auto found = this->listed.find(state.suspect);
         const bool exists = found != this->listed.end();
         const bool is_recorded = exists && found->second.state.is_quarantined &&
-                                 found->second.state.generation == state.generation;
+                                 found->second.state.generation == state.generation &&
+                                 found->second.state.failed_trials >= state.failed_trials;
         const bool is_outdated = exists && found->second.state.generation > state.generation;
         if (is_recorded || is_outdated)
             continue;
         this->write(state, exists);
         return true;
     }
-    for (const auto& [segment, entry] : this->listed) {
-        const auto state = this->prompts.state_of(segment);
+    for (const auto& [suspect, entry] : this->listed) {
+        const auto state = this->crashes.state_of(suspect);
         if (!entry.state.is_quarantined || !state || state->is_quarantined ||
             state->generation <= entry.state.generation)
             continue;
@@ -86,12 +87,12 @@
 
 bool quarantine_registry::remove_next_released() {
     const auto now = this->loop.time().now();
-    for (const auto& [segment, entry] : this->listed) {
+    for (const auto& [suspect, entry] : this->listed) {
         if (entry.state.is_quarantined || now - entry.changed_at < released_lifetime)
             continue;
         this->is_calling = true;
-        this->call = this->store.remove(discovery::collection::quarantine, helpers::to_hex(segment),
-                                        [this, id = segment](const auto& result) {
+        this->call = this->store.remove(discovery::collection::quarantine, helpers::to_hex(suspect),
+                                        [this, id = suspect](const auto& result) {
                                             if (!std::holds_alternative<kernel::error>(result))
                                                 this->listed.erase(id);
                                             this->on_finished(id, result);
@@ -104,7 +105,7 @@
 void quarantine_registry::write(const admission::crash_evidence& state, bool exists) {
     this->is_calling = true;
     const auto name = helpers::to_hex(state.suspect);
-    const auto content = this->codec.write_segment(state);
+    const auto content = this->codec.write_suspect(state);
     const auto done = [this, state](const discovery::feed_result& result) {
         // Until the feed shows the entry, it is not written again.
         if (!std::holds_alternative<kernel::error>(result))
@@ -116,7 +117,7 @@
                         : this->store.create(kind, name, content, done);
 }
 
-void quarantine_registry::on_finished(std::uint64_t segment, const discovery::feed_result& result) {
+void quarantine_registry::on_finished(std::uint64_t suspect, const discovery::feed_result& result) {
     this->is_calling = false;
     const auto* reason = std::get_if<kernel::error>(&result);
     if (reason != nullptr)
@@ -124,8 +125,8 @@
     // A conflict means that another gateway was first.
     const bool is_done = reason == nullptr || reason->kind == kernel::error_kind::conflict;
     this->events.write(is_done ? kernel::severity::info : kernel::severity::warning,
-                       "segment.recorded", std::nullopt,
-                       {{"segment", helpers::to_hex(segment)},
+                       "quarantine.recorded", std::nullopt,
+                       {{"suspect", helpers::to_hex(suspect)},
                         {"done", is_done},
                         {"reason", reason == nullptr ? std::string() : reason->detail}});
 }
--- a/src/gateway/quarantine_registry.hpp
+++ b/src/gateway/quarantine_registry.hpp
@@ -1,4 +1,4 @@
-// Keeps the quarantined prompt segments in the store. The exchange spreads a quarantine faster, but
+// Keeps the quarantined suspects in the store. The exchange spreads a quarantine faster, but
 // is forgotten when all gateways stop, and does not reach a gateway that has lost its peers.
 #pragma once
 
@@ -19,7 +19,7 @@
 public:
     quarantine_registry(kernel::loop& loop, kernel::event_sink& events,
                         discovery::feed_source& store, const object_codec& codec,
-                        crash_guard& prompts);
+                        crash_guard& crashes);
     ~quarantine_registry();
     quarantine_registry(const quarantine_registry&) = delete;
     quarantine_registry& operator=(const quarantine_registry&) = delete;
@@ -43,13 +43,13 @@
     bool write_next();
     bool remove_next_released();
     void write(const admission::crash_evidence& state, bool exists);
-    void on_finished(std::uint64_t segment, const discovery::feed_result& result);
+    void on_finished(std::uint64_t suspect, const discovery::feed_result& result);
 
     kernel::loop& loop;
     kernel::event_sink& events;
     discovery::feed_source& store;
     const object_codec& codec;
-    crash_guard& prompts;
+    crash_guard& crashes;
     std::function<bool()> is_writer;
     std::map<std::uint64_t, listed_entry> listed;
     // The latest call; a finished call is freed when the next one starts.
--- a/src/kernel/error.hpp
+++ b/src/kernel/error.hpp
@@ -41,6 +41,8 @@
     connection_lost,
     // A segment of the prompt has crashed several targets.
     prompt_quarantined,
+    // The request itself, in earlier attempts of its caller, has crashed several targets.
+    request_quarantined,
     // The number of kinds; not a kind itself.
     count,
 };
--- a/tests/admission/test_crash_quarantine.cpp
+++ b/tests/admission/test_crash_quarantine.cpp
@@ -17,11 +17,11 @@
 constexpr std::uint64_t common = 0xa1;
 constexpr std::uint64_t bad = 0xbad;
 
-placement::prompt prompt_of(const std::vector<std::uint64_t>& shared) {
-    placement::prompt result;
+// The shared segments of a prompt, without the request itself.
+admission::suspect_list prompt_of(const std::vector<std::uint64_t>& shared) {
+    admission::suspect_list result;
     for (const auto id : shared)
-        result.segments.push_back({id, 100});
-    result.segments.push_back({0xffff, 10});
+        result.push_back({id, static_cast<std::uint8_t>(result.size())});
     return result;
 }
 
@@ -32,7 +32,7 @@
     explicit quarantine_under_test(const std::string& name = "g1") : crash_quarantine(name) {}
 
     // Loses targets `first` to `last` at the start of the response to the prompt, a second apart.
-    void lose(const placement::prompt& prompt, std::uint32_t first, std::uint32_t last,
+    void lose(const admission::suspect_list& prompt, std::uint32_t first, std::uint32_t last,
               bool had_begun = true) {
         for (auto target = first; target <= last; ++target) {
             this->now += 1s;
@@ -49,18 +49,18 @@
 TEST_CASE("segment quarantine: three targets lost at the start of a response, and no sooner") {
     quarantine_under_test quarantine;
     quarantine.lose(harmful, 1, 2);
-    CHECK(quarantine.check(harmful, quarantine.now) == verdict::admitted);
+    CHECK(quarantine.check(harmful, quarantine.now).result == verdict::admitted);
     quarantine.lose(harmful, 3, 3);
-    CHECK(quarantine.check(harmful, quarantine.now) == verdict::quarantined);
-    CHECK(quarantine.quarantined_count() == 1);
+    CHECK(quarantine.check(harmful, quarantine.now).result == verdict::quarantined);
+    CHECK(quarantine.quarantined_segments() == 1);
 }
 
 // Guards against the segments that precede a harmful one being blamed with it.
 TEST_CASE("segment quarantine: of segments with the same losses only the deepest is quarantined") {
     quarantine_under_test quarantine;
     quarantine.lose(harmful, 1, 8);
-    CHECK(quarantine.check(prompt_of({common, 0xb2}), quarantine.now) == verdict::admitted);
-    CHECK(quarantine.check(prompt_of({0xc3, bad}), quarantine.now) == verdict::quarantined);
+    CHECK(quarantine.check(prompt_of({common, 0xb2}), quarantine.now).result == verdict::admitted);
+    CHECK(quarantine.check(prompt_of({0xc3, bad}), quarantine.now).result == verdict::quarantined);
 }
 
 // Guards against a harmful first segment that hides behind many different second ones.
@@ -68,15 +68,15 @@
     quarantine_under_test quarantine;
     for (std::uint32_t i = 1; i <= 3; ++i)
         quarantine.lose(prompt_of({bad, 0x100 + i}), i, i);
-    CHECK(quarantine.check(prompt_of({bad, 0x200}), quarantine.now) == verdict::quarantined);
-    CHECK(quarantine.quarantined_count() == 1);
+    CHECK(quarantine.check(prompt_of({bad, 0x200}), quarantine.now).result == verdict::quarantined);
+    CHECK(quarantine.quarantined_segments() == 1);
 }
 
 // Guards against the last segment, which no other request has, filling the evidence.
 TEST_CASE("segment quarantine: a prompt with no shared segment is never quarantined") {
     quarantine_under_test quarantine;
     quarantine.lose(prompt_of({}), 1, 9);
-    CHECK(quarantine.check(prompt_of({}), quarantine.now) == verdict::admitted);
+    CHECK(quarantine.check(prompt_of({}), quarantine.now).result == verdict::admitted);
     CHECK(quarantine.evidence(quarantine.now).empty());
 }
 
@@ -84,9 +84,9 @@
 TEST_CASE("segment quarantine: losses before the start of a response count less") {
     quarantine_under_test quarantine;
     quarantine.lose(harmful, 1, 4, false);
-    CHECK(quarantine.check(harmful, quarantine.now) == verdict::admitted);
+    CHECK(quarantine.check(harmful, quarantine.now).result == verdict::admitted);
     quarantine.lose(harmful, 5, 5, false);
-    CHECK(quarantine.check(harmful, quarantine.now) == verdict::quarantined);
+    CHECK(quarantine.check(harmful, quarantine.now).result == verdict::quarantined);
 }
 
 // Guards against sound requests that are hit by a series of losses and served in between.
@@ -96,7 +96,7 @@
         quarantine.lose(harmful, i, i + 1);
         quarantine.on_under_way(harmful, quarantine.now);
     }
-    CHECK(quarantine.check(harmful, quarantine.now) == verdict::admitted);
+    CHECK(quarantine.check(harmful, quarantine.now).result == verdict::admitted);
 }
 
 // Guards against a lost rack, data centre or network interface being blamed on prompts.
@@ -105,7 +105,7 @@
     for (std::uint32_t target = 1; target <= 30; ++target)
         quarantine.on_target_lost(harmful, target, true, verdict::admitted,
                                   quarantine.now + target * 3ms);
-    CHECK(quarantine.check(harmful, quarantine.now) == verdict::admitted);
+    CHECK(quarantine.check(harmful, quarantine.now).result == verdict::admitted);
 }
 
 // Guards against a segment that is blamed for losses which a quarantined one explains.
@@ -116,7 +116,7 @@
     for (std::uint32_t target = 1; target <= 4; ++target)
         quarantine.on_target_lost(bystander, target, true, verdict::admitted,
                                   quarantine.now + target * 1s);
-    CHECK(quarantine.check(bystander, quarantine.now) == verdict::admitted);
+    CHECK(quarantine.check(bystander, quarantine.now).result == verdict::admitted);
 }
 
 // Guards against gateways of which each sees too few losses.
@@ -136,7 +136,7 @@
             gateways[i].merge(gateways[i + 1].evidence(at), at);
         }
     for (auto& each : gateways)
-        CHECK(each.check(harmful, now + 2s) == verdict::quarantined);
+        CHECK(each.check(harmful, now + 2s).result == verdict::quarantined);
 }
 
 // Guards against duplicated, reordered and lost messages.
@@ -151,11 +151,11 @@
         quarantine_under_test receiver("g2");
         for (int repeats = 0; repeats < 3; ++repeats)
             receiver.merge(entries, origin.now);
-        CHECK(receiver.check(harmful, origin.now) == verdict::admitted);
+        CHECK(receiver.check(harmful, origin.now).result == verdict::admitted);
         receiver.on_target_lost(harmful, 9, true, verdict::admitted, origin.now + 1s);
-        CHECK(receiver.check(harmful, origin.now) == verdict::quarantined);
-        CHECK(receiver.check(prompt_of({common, 0xb2}), origin.now) == verdict::admitted);
-        CHECK(receiver.quarantined_count() == 1);
+        CHECK(receiver.check(harmful, origin.now).result == verdict::quarantined);
+        CHECK(receiver.check(prompt_of({common, 0xb2}), origin.now).result == verdict::admitted);
+        CHECK(receiver.quarantined_segments() == 1);
     }
 }
 
@@ -171,9 +171,9 @@
     CHECK(joined.is_quarantined(harmful));
     old.on_under_way(harmful, later);
     joined.merge(old.evidence(later), later);
-    CHECK(joined.check(harmful, later) == verdict::admitted);
+    CHECK(joined.check(harmful, later).result == verdict::admitted);
     joined.merge(before_release, later + 1s);
-    CHECK(joined.check(harmful, later + 1s) == verdict::admitted);
+    CHECK(joined.check(harmful, later + 1s).result == verdict::admitted);
 }
 
 // Guards against a gateway that has started and does not know how often a segment was cleared.
@@ -188,7 +188,7 @@
         old.now += 1s;
         old.merge(restarted.evidence(old.now), old.now);
     }
-    CHECK(old.check(harmful, old.now) == verdict::quarantined);
+    CHECK(old.check(harmful, old.now).result == verdict::quarantined);
 }
 
 // Guards against trials by every gateway at once, each of which may cost a target.
@@ -206,7 +206,7 @@
     const auto end = now + 4min;
     for (; now < end; now += 100ms)
         for (auto& each : gateways) {
-            if (each.check(harmful, now) != verdict::trial)
+            if (each.check(harmful, now).result != verdict::trial)
                 continue;
             ++trials;
             each.on_target_lost(harmful, 100 + trials, true, verdict::trial, now);
@@ -218,7 +218,7 @@
     const auto harmless_again = [&] {
         for (; now < end + 20min; now += 100ms)
             for (auto& each : gateways)
-                if (each.check(harmful, now) == verdict::trial) {
+                if (each.check(harmful, now).result == verdict::trial) {
                     each.on_under_way(harmful, now);
                     return each.evidence(now);
                 }
@@ -226,7 +226,7 @@
     }();
     for (auto& each : gateways) {
         each.merge(harmless_again, now);
-        CHECK(each.check(harmful, now) == verdict::admitted);
+        CHECK(each.check(harmful, now).result == verdict::admitted);
     }
 }
 
@@ -245,7 +245,7 @@
     CHECK(sent.size() <= crash_quarantine::max_sent_evidence);
     REQUIRE_FALSE(sent.empty());
     CHECK(sent.front().suspect == bad);
-    CHECK(quarantine.check(harmful, quarantine.now) == verdict::quarantined);
+    CHECK(quarantine.check(harmful, quarantine.now).result == verdict::quarantined);
 }
 
 // Guards against a quarantine that was read from the store, without its losses, and never ends.
@@ -255,11 +255,11 @@
     listed.suspect = bad;
     listed.is_quarantined = true;
     quarantine.merge(std::vector{listed}, quarantine.now);
-    CHECK(quarantine.check(harmful, quarantine.now) == verdict::quarantined);
+    CHECK(quarantine.check(harmful, quarantine.now).result == verdict::quarantined);
     quarantine.now += 10s;
-    REQUIRE(quarantine.check(harmful, quarantine.now) == verdict::trial);
+    REQUIRE(quarantine.check(harmful, quarantine.now).result == verdict::trial);
     quarantine.on_under_way(harmful, quarantine.now);
-    CHECK(quarantine.check(harmful, quarantine.now) == verdict::admitted);
+    CHECK(quarantine.check(harmful, quarantine.now).result == verdict::admitted);
 }
 
 // Guards against evidence that is exchanged without end once a segment has more losses than are
--- a/tests/admission/test_crashing_fleet.cpp
+++ b/tests/admission/test_crashing_fleet.cpp
@@ -1,12 +1,13 @@
-// A simulated fleet in which requests with one prompt segment crash the engines that begin to
-// respond to them, while gateways restart, freeze, are cut off from each other and join. Checks
-// what the platform's rules promise: few further requests with the segment, and sound ones beside
-// them.
+// A simulated fleet in which requests with one prompt segment, or one request that comes again,
+// crash the targets that begin to respond to them, while gateways restart, freeze, are cut off from
+// each other and join. Checks what the platform's rules promise: few further harmful requests, and
+// sound ones beside them.
 #include "admission/crash_quarantine.hpp"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <list>
 #include <map>
 #include <random>
@@ -19,6 +20,7 @@
 namespace {
 
 constexpr std::uint64_t bad_segment = 0xbad;
+constexpr std::uint64_t bad_digest = 0xdead;
 constexpr helpers::duration stability_window = 3s;
 constexpr helpers::duration step = 10ms;
 constexpr helpers::duration exchange_interval = 100ms;
@@ -35,6 +37,18 @@
     int first_segments = 8;
     int second_segments = 66;
     bool bad_is_first = false;
+    // The harmful requests are one request that comes again, and has no prompt of its own.
+    bool bad_is_request = false;
+    // Requests have no prompt, and are a few that come again.
+    bool is_plain = false;
+    int sound_digests = 0;
+    // Until the response head, and from there to the end.
+    helpers::duration most_to_head = 400ms;
+    helpers::duration most_to_end = 2s;
+    // How long a request waits for a target, and for the verification of its harm.
+    helpers::duration queue_wait = 0ms;
+    // Crashes a second that no request causes.
+    double chance_crashes = 0;
     // From the head of the response to the crash; negative if the engine crashes before it.
     helpers::duration head_to_crash = 70ms;
     bool has_faults = false;
@@ -60,18 +74,23 @@
             this->exchange();
             this->send(this->given.sound_per_second, false);
             this->send(this->given.bad_per_second, true);
+            this->serve_waiting();
             this->progress();
+            if (this->chance(this->given.chance_crashes * seconds_of(step)))
+                this->crash_by_chance();
         }
     }
 
     int crashes = 0;
-    // Requests with the bad segment that gateways in touch sent later than the stability window
-    // after the fifth crash.
+    // Harmful requests that gateways in touch sent later than the stability window after the fifth
+    // crash, or after the third if they are one request.
     int bad_sent_late = 0;
-    // Sound requests with the first segment of the bad ones, later than two stability windows after
-    // the fifth crash.
+    // Sound requests with the first segment of the bad ones, if these have one, later than two
+    // stability windows after that crash.
     int sound_asked = 0;
     int sound_admitted = 0;
+    // Sound requests that the quarantine rejected, at any time.
+    int sound_rejected = 0;
 
 private:
     struct gateway {
@@ -90,6 +109,7 @@
 
     struct request {
         placement::prompt prompt;
+        admission::suspect_list suspects;
         bool is_bad = false;
         std::size_t gateway = 0;
         std::size_t engine = 0;
@@ -98,6 +118,9 @@
         helpers::time_point done_at{};
         bool was_under_way = false;
         int attempts = 1;
+        int caller_attempts = 1;
+        bool is_judged = false;
+        helpers::time_point wait_until{};
         crash_quarantine::verdict verdict = crash_quarantine::verdict::admitted;
     };
 
@@ -107,6 +130,9 @@
     bool chance(double probability) {
         return std::bernoulli_distribution(probability)(this->random);
     }
+    static double seconds_of(helpers::duration time) {
+        return std::chrono::duration<double>(time).count();
+    }
     helpers::duration between(helpers::duration least, helpers::duration most) {
         return helpers::duration(
             std::uniform_int_distribution<std::int64_t>(least.count(), most.count())(this->random));
@@ -187,8 +213,7 @@
     }
 
     void send(double per_second, bool is_bad) {
-        const auto steps_per_second = static_cast<double>(1s / step);
-        if (!this->chance(per_second / steps_per_second))
+        if (!this->chance(per_second * seconds_of(step)))
             return;
         request added;
         added.is_bad = is_bad;
@@ -204,58 +229,98 @@
             added.prompt.segments.front().id = bad_segment;
         else if (is_bad)
             added.prompt.segments = {{1, 100}, {bad_segment, 600}, {this->random(), 100}};
-        const bool is_judged = !is_bad && owner == 0 && this->crashes >= 5 &&
-                               this->now - this->fifth_crash_at > 2 * stability_window &&
-                               this->now >= this->gateways[added.gateway].disturbed_until;
-        const bool is_admitted = this->start(std::move(added));
-        this->sound_asked += is_judged ? 1 : 0;
-        this->sound_admitted += is_judged && is_admitted ? 1 : 0;
+        const auto digest =
+            is_bad && this->given.bad_is_request ? bad_digest
+            : this->given.sound_digests > 0
+                ? 1 + this->pick(static_cast<std::size_t>(this->given.sound_digests))
+                : this->random();
+        if (this->given.is_plain)
+            added.prompt.segments.clear();
+        added.suspects = admission::suspects_of(added.prompt, digest);
+        added.is_judged = !is_bad && (owner == 0 || this->given.bad_is_request) &&
+                          this->is_late(2) &&
+                          this->now >= this->gateways[added.gateway].disturbed_until;
+        added.wait_until = this->now + this->given.queue_wait;
+        this->sound_asked += added.is_judged ? 1 : 0;
+        this->start(std::move(added));
+    }
+
+    // Whether the given number of stability windows has passed since the crash that counts.
+    bool is_late(int windows) const {
+        return this->crashes >= this->counted_crash() &&
+               this->now - this->counted_crash_at > windows * stability_window;
     }
+    int counted_crash() const { return this->given.bad_is_request ? 3 : 5; }
 
-    bool start(request started) {
+    void serve_waiting() {
+        for (auto retried = std::exchange(this->waiting, {}); !retried.empty(); retried.pop_front())
+            this->start(std::move(retried.front()));
+    }
+
+    void start(request started) {
         auto& from = this->gateways[started.gateway];
-        started.verdict = from.quarantine.check(started.prompt, this->now);
-        if (started.verdict == crash_quarantine::verdict::quarantined)
-            return false;
-        std::vector<std::size_t> up;
-        for (std::size_t i = 0; i < this->engines.size(); ++i)
-            if (this->engines[i].up_at <= this->now)
-                up.push_back(i);
-        if (up.empty())
-            return true;
+        if (this->now < from.frozen_until) {
+            this->waiting.push_back(std::move(started));
+            return;
+        }
+        const auto up = this->targets_up();
+        // A gateway asks the quarantine again when it has connected to a target.
+        if (up.empty()) {
+            if (this->now < started.wait_until)
+                this->waiting.push_back(std::move(started));
+            return;
+        }
+        started.verdict = from.quarantine.check(started.suspects, this->now).result;
+        if (started.verdict == crash_quarantine::verdict::held && this->now < started.wait_until) {
+            this->waiting.push_back(std::move(started));
+            return;
+        }
+        if (started.verdict == crash_quarantine::verdict::held ||
+            started.verdict == crash_quarantine::verdict::quarantined) {
+            this->sound_rejected += started.is_bad ? 0 : 1;
+            return;
+        }
+        this->sound_admitted += std::exchange(started.is_judged, false) ? 1 : 0;
         started.engine = up[this->pick(up.size())];
         started.incarnation = this->engines[started.engine].incarnation;
-        started.head_at = this->now + this->between(30ms, 400ms);
-        started.done_at = started.head_at + this->between(200ms, 2s);
+        started.head_at =
+            this->now + this->between(this->given.most_to_head / 10, this->given.most_to_head);
+        started.done_at =
+            started.head_at + this->between(this->given.most_to_end / 10, this->given.most_to_end);
         started.was_under_way = false;
-        if (started.is_bad && this->crashes >= 5 &&
-            this->now - this->fifth_crash_at > stability_window &&
-            this->now >= from.disturbed_until)
+        if (started.is_bad && this->is_late(1) && this->now >= from.disturbed_until)
             ++this->bad_sent_late;
         this->in_progress.push_back(std::move(started));
-        return true;
+    }
+
+    std::vector<std::size_t> targets_up() const {
+        std::vector<std::size_t> result;
+        for (std::size_t i = 0; i < this->engines.size(); ++i)
+            if (this->engines[i].up_at <= this->now)
+                result.push_back(i);
+        return result;
     }
 
     void progress() {
         for (auto each = this->in_progress.begin(); each != this->in_progress.end();) {
             if (each->is_bad && this->now >= each->head_at + this->given.head_to_crash) {
                 const auto crashed = each->engine;
+                if (++this->crashes == this->counted_crash())
+                    this->counted_crash_at = this->now;
                 this->crash(crashed);
                 each = this->in_progress.begin();
                 continue;
             }
             if (!each->is_bad && !each->was_under_way &&
-                this->now >= each->head_at + head_to_under_way) {
+                this->now >= std::min(each->head_at + head_to_under_way, each->done_at)) {
                 each->was_under_way = true;
-                this->gateways[each->gateway].quarantine.on_under_way(each->prompt, this->now);
+                this->gateways[each->gateway].quarantine.on_under_way(each->suspects, this->now);
             }
             each = this->now >= each->done_at ? this->in_progress.erase(each) : std::next(each);
         }
     }
 
     void crash(std::size_t index) {
-        if (++this->crashes == 5)
-            this->fifth_crash_at = this->now;
         auto& crashed = this->engines[index];
         const auto incarnation = crashed.incarnation;
         crashed.incarnation = ++this->last_incarnation;
@@ -269,36 +334,78 @@
         for (auto& each : lost) {
             auto& from = this->gateways[each.gateway];
             if (!each.was_under_way)
-                from.quarantine.on_target_lost(each.prompt, incarnation, this->now >= each.head_at,
-                                               each.verdict, this->now);
-            if (each.attempts++ < 2)
-                this->start(std::move(each));
+                from.quarantine.on_target_lost(each.suspects, incarnation,
+                                               this->now >= each.head_at, each.verdict, this->now);
+            this->retry(std::move(each));
+        }
+    }
+
+    void crash_by_chance() {
+        const auto up = this->targets_up();
+        if (!up.empty())
+            this->crash(up[this->pick(up.size())]);
+    }
+
+    // Once by the gateway, and then once by the caller at any gateway.
+    void retry(request lost) {
+        if (lost.attempts++ >= 2) {
+            if (lost.caller_attempts++ >= 2)
+                return;
+            lost.attempts = 1;
+            lost.gateway = this->pick(this->gateways.size());
         }
+        lost.wait_until = this->now + this->given.queue_wait;
+        this->start(std::move(lost));
     }
 
     scenario given;
     std::mt19937_64 random;
     helpers::time_point now{1h};
     helpers::time_point next_exchange{};
-    helpers::time_point fifth_crash_at{};
+    helpers::time_point counted_crash_at{};
     std::vector<std::string> names;
     std::vector<gateway> gateways;
     std::vector<engine> engines;
     std::uint32_t last_incarnation = 0;
     std::list<request> in_progress;
+    std::list<request> waiting;
     std::map<std::uint64_t, admission::crash_evidence> store;
 };
 
+// Plays each scenario with that many times as many seeds, for long runs by hand.
+unsigned seed_factor() {
+    const auto* text = std::getenv("CRASHING_FLEET_SEED_FACTOR");
+    return text == nullptr ? 1 : static_cast<unsigned>(std::strtoul(text, nullptr, 10));
+}
+
 void check_seeds(const scenario& given, unsigned seeds) {
-    for (unsigned seed = 1; seed <= seeds; ++seed) {
+    for (unsigned seed = 1; seed <= seeds * seed_factor(); ++seed) {
         CAPTURE(seed);
         crashing_fleet fleet(given, seed);
         fleet.run_for(60s);
         CHECK(fleet.bad_sent_late <= 3);
         CHECK(2 * fleet.sound_admitted >= fleet.sound_asked);
+        // No part of a plain request is shared, so that sound ones are not confused with it.
+        if (given.is_plain)
+            CHECK(100 * fleet.sound_rejected <= fleet.sound_asked);
     }
 }
 
+// Plain targets, and one request that crashes them each time that its caller repeats it.
+scenario repeated_request() {
+    scenario result;
+    result.engines = 3;
+    result.bad_is_request = true;
+    result.is_plain = true;
+    result.sound_per_second = 24;
+    result.sound_digests = 400;
+    result.most_to_head = 40ms;
+    result.most_to_end = 1ms;
+    result.head_to_crash = 0ms;
+    result.queue_wait = 250ms;
+    return result;
+}
+
 } // namespace
 
 // Guards against a harmful segment that crashes engines for as long as requests with it come
@@ -345,3 +452,62 @@
     early.head_to_crash = -20ms;
     check_seeds(early, 20);
 }
+
+// Guards against a repeated request that crashes plain targets for as long as its caller repeats
+// it.
+TEST_CASE("crashing fleet: a small fleet stops sending a harmful request, and serves the others") {
+    check_seeds(repeated_request(), 50);
+}
+
+// Guards against evidence that is forgotten between losses that are seconds apart.
+TEST_CASE("crashing fleet: few repeats of a harmful request") {
+    auto rare = repeated_request();
+    rare.bad_per_second = 0.4;
+    check_seeds(rare, 50);
+}
+
+// Guards against a verification that all gateways make at once.
+TEST_CASE("crashing fleet: many repeats of a harmful request at many gateways") {
+    auto large = repeated_request();
+    large.gateways = 60;
+    large.engines = 6;
+    large.bad_per_second = 12;
+    large.sound_per_second = 90;
+    large.queue_wait = 1400ms;
+    check_seeds(large, 5);
+}
+
+// Guards against a quarantine of requests that holds only while all gateways work.
+TEST_CASE(
+    "crashing fleet: gateways restart, freeze, are cut off and join beside a harmful request") {
+    auto faulty = repeated_request();
+    faulty.has_faults = true;
+    check_seeds(faulty, 100);
+}
+
+// Guards against blaming the segments that a harmful request shares with others.
+TEST_CASE("crashing fleet: a harmful request with a prompt") {
+    scenario prompted;
+    prompted.bad_is_request = true;
+    prompted.has_faults = true;
+    prompted.queue_wait = 1400ms;
+    check_seeds(prompted, 50);
+}
+
+// Guards against rejecting sound requests, which come again, because targets were lost by chance
+// while they were in progress.
+TEST_CASE("crashing fleet: targets that are lost by chance cost no request its service") {
+    auto unlucky = repeated_request();
+    unlucky.bad_per_second = 0;
+    unlucky.chance_crashes = 0.7;
+    unlucky.engines = 6;
+    unlucky.sound_digests = 6;
+    unlucky.most_to_head = 200ms;
+    unlucky.queue_wait = 1400ms;
+    for (unsigned seed = 1; seed <= 20 * seed_factor(); ++seed) {
+        CAPTURE(seed);
+        crashing_fleet fleet(unlucky, seed);
+        fleet.run_for(60s);
+        CHECK(fleet.sound_rejected == 0);
+    }
+}
--- a/tests/exchange/test_exchange_node.cpp
+++ b/tests/exchange/test_exchange_node.cpp
@@ -174,7 +174,7 @@
     bool store_rejects = false;
 };
 
-const placement::prompt harmful{{{0xa1, 100}, {0xbad, 50}, {0x1, 10}}, 0};
+const admission::suspect_list harmful{{0xa1, 0}, {0xbad, 1}};
 
 struct fleet {
     explicit fleet(int count, int data_centres = 1) {
--- a/tests/gateway/gateway_harness.hpp
+++ b/tests/gateway/gateway_harness.hpp
@@ -210,14 +210,14 @@
     std::shared_ptr<const routing::route_table> table;
     discovery::target_catalog catalog;
     gateway::dispatcher dispatch;
-    gateway::crash_guard prompts{this->loop, this->events, "g1"};
+    gateway::crash_guard crashes{this->loop, this->events, "g1"};
     scripted_client targets;
     gateway::header_names names;
     gateway::gateway_counters counters;
     gateway::latency_recorders latencies;
     bool shutting_down = false;
     gateway::request_services services{this->loop,      this->random,       this->events,
-                                       this->targets,   this->dispatch,     this->prompts,
+                                       this->targets,   this->dispatch,     this->crashes,
                                        this->catalog,   this->names,        this->counters,
                                        this->latencies, this->shutting_down};
     std::list<caller> callers;
--- a/tests/gateway/test_crashing_prompts.cpp
+++ b/tests/gateway/test_crashing_prompts.cpp
@@ -24,8 +24,9 @@
     // Sends a request with the given shared segments and lets the targets process it, and its
     // retries.
     gateway_harness::caller& send(const std::string& shared_segments) {
-        auto& caller = this->harness.send(
-            "/talk/1", {{"x-prompt-parts", shared_segments + "," + this->own_segment()}});
+        const auto own = this->own_segment();
+        auto& caller =
+            this->harness.send("/talk/" + own, {{"x-prompt-parts", shared_segments + "," + own}});
         while (this->processed < this->harness.call_count()) {
             this->process(*std::next(this->harness.targets.calls.begin(),
                                      static_cast<std::ptrdiff_t>(this->processed++)));
@@ -137,10 +138,9 @@
     gateway_harness harness(target_count);
     auto& caller = harness.send("/talk/1", {{"x-prompt-parts", "a1:100,bad:50,1:10"}});
     auto& call = harness.last_call();
-    placement::prompt prompt;
-    prompt.segments = {{0xa1, 100}, {0xbad, 50}, {0x2, 10}};
+    const admission::suspect_list suspects{{0xa1, 0}, {0xbad, 1}};
     for (std::uint32_t target = 1; target <= 3; ++target) {
-        harness.prompts.on_target_lost(prompt, target, true,
+        harness.crashes.on_target_lost(suspects, target, true,
                                        gateway::crash_guard::verdict::admitted);
         harness.loop.advance(200ms);
     }
@@ -156,7 +156,7 @@
     "crashing prompts: a stream without a length that ends inside an event counts as a loss") {
     gateway_harness harness(target_count);
     for (int i = 0; i < 3; ++i) {
-        harness.send("/write/1", {{"x-prompt-parts", "a1:100,bad:50,1:10"}});
+        harness.send("/write/" + std::to_string(i), {{"x-prompt-parts", "a1:100,bad:50,1:10"}});
         auto& call = harness.last_call();
         call.connect();
         call.head(200);
@@ -164,7 +164,7 @@
         call.listener->on_done();
         harness.advance(200ms);
     }
-    CHECK(harness.prompts.quarantined_segments() == 1);
+    CHECK(harness.crashes.quarantined_segments() == 1);
 }
 
 // Guards against a crash that looks like the end of an empty stream: it is no success, and clears
@@ -174,7 +174,8 @@
     "loss") {
     gateway_harness harness(target_count);
     for (int i = 0; i < 3; ++i) {
-        auto& caller = harness.send("/write/1", {{"x-prompt-parts", "a1:100,bad:50,1:10"}});
+        auto& caller =
+            harness.send("/write/" + std::to_string(i), {{"x-prompt-parts", "a1:100,bad:50,1:10"}});
         auto& call = harness.last_call();
         call.connect();
         call.head(200);
@@ -182,5 +183,5 @@
         harness.advance(200ms);
         CHECK(caller.response.status == 502);
     }
-    CHECK(harness.prompts.quarantined_segments() == 1);
+    CHECK(harness.crashes.quarantined_segments() == 1);
 }
--- a/tests/gateway/test_crashing_requests.cpp
+++ b/tests/gateway/test_crashing_requests.cpp
@@ -131,8 +131,8 @@
 
 // Guards against one repeated request that crashes a plain target with each attempt: nothing
 // connected the losses, since it has no prompt.
-TEST_CASE("crashing requests: a request that has crashed three targets reaches at most three more" *
-          doctest::should_fail()) {
+TEST_CASE(
+    "crashing requests: a request that has crashed three targets reaches at most three more") {
     gateway_harness harness(3);
     crashing_service service(harness);
     for (int i = 0; i < 160; ++i) {
@@ -144,8 +144,7 @@
 }
 
 // Guards against refusing what a crashing request shares with others: their caller and route.
-TEST_CASE("crashing requests: other requests of the same caller and route are served" *
-          doctest::should_fail()) {
+TEST_CASE("crashing requests: other requests of the same caller and route are served") {
     gateway_harness harness(4);
     crashing_service service(harness);
     int served = 0;
--- a/tests/gateway/test_quarantine_registry.cpp
+++ b/tests/gateway/test_quarantine_registry.cpp
@@ -1,4 +1,4 @@
-// Tests of the quarantined prompt segments in the store.
+// Tests of the quarantined suspects in the store.
 #include "gateway/quarantine_registry.hpp"
 #include "platform/object_json.hpp"
 #include "tests/discovery/fake_feed.hpp"
@@ -16,14 +16,14 @@
 
 namespace {
 
-const placement::prompt harmful{{{0xa1, 100}, {0xbad, 50}, {0x1, 10}}, 0};
+const admission::suspect_list harmful{{0xa1, 0}, {0xbad, 1}};
 
 using store_content = std::map<std::string, std::string>;
 
 // A gateway that has its own view of the store.
 struct guarded_gateway {
     explicit guarded_gateway(const std::string& name, bool is_writer = true)
-        : prompts(loop, events, name), registry(loop, events, source, codec, prompts) {
+        : crashes(loop, events, name), registry(loop, events, source, codec, crashes) {
         this->loop.advance(1min);
         this->registry.set_writer_check([is_writer] { return is_writer; });
         this->registry.start();
@@ -32,7 +32,7 @@
     void lose_targets(std::uint32_t count) {
         for (std::uint32_t target = 1; target <= count; ++target) {
             this->loop.advance(200ms);
-            this->prompts.on_target_lost(harmful, target, true, verdict::admitted);
+            this->crashes.on_target_lost(harmful, target, true, verdict::admitted);
         }
         this->loop.advance(300ms);
     }
@@ -55,7 +55,7 @@
     kernel::null_sink events;
     tests::fake_feed_source source;
     platform::json_object_codec codec;
-    gateway::crash_guard prompts;
+    gateway::crash_guard crashes;
     gateway::quarantine_registry registry;
     std::uint64_t revision = 1;
 };
@@ -71,9 +71,9 @@
     CHECK(content.size() == 1);
     CHECK(content.contains("bad"));
     guarded_gateway after("g1");
-    CHECK(after.prompts.check(harmful) == verdict::admitted);
+    CHECK(after.crashes.check(harmful, "id").result == verdict::admitted);
     after.registry.set_entries(content);
-    CHECK(after.prompts.check(harmful) == verdict::quarantined);
+    CHECK(after.crashes.check(harmful, "id").result == verdict::quarantined);
     CHECK_FALSE(after.execute_write(content));
 }
 
@@ -103,7 +103,7 @@
     REQUIRE(hub.execute_write(content));
     content.clear();
     hub.registry.set_entries(content);
-    CHECK(hub.prompts.check(harmful) == verdict::quarantined);
+    CHECK(hub.crashes.check(harmful, "id").result == verdict::quarantined);
     hub.loop.advance(300ms);
     REQUIRE(hub.execute_write(content));
     CHECK(content.contains("bad"));
@@ -118,14 +118,14 @@
     REQUIRE(hub.execute_write(content));
     guarded_gateway isolated("g2");
     isolated.registry.set_entries(content);
-    CHECK(isolated.prompts.check(harmful) == verdict::quarantined);
-    hub.prompts.on_under_way(harmful);
+    CHECK(isolated.crashes.check(harmful, "id").result == verdict::quarantined);
+    hub.crashes.on_under_way(harmful);
     hub.loop.advance(300ms);
     REQUIRE(hub.execute_write(content));
     hub.registry.set_entries(content);
-    CHECK(hub.prompts.check(harmful) == verdict::admitted);
+    CHECK(hub.crashes.check(harmful, "id").result == verdict::admitted);
     isolated.registry.set_entries(content);
-    CHECK(isolated.prompts.check(harmful) == verdict::admitted);
+    CHECK(isolated.crashes.check(harmful, "id").result == verdict::admitted);
     hub.loop.advance(3min);
     REQUIRE(hub.execute_write(content));
     CHECK(content.empty());
@@ -135,8 +135,8 @@
 TEST_CASE("quarantine registry: unreadable entries are skipped") {
     guarded_gateway hub("g1");
     hub.registry.set_entries({{"xyz", "{}"}, {"12", "[}"}, {"bad", R"({"quarantined":true})"}});
-    CHECK(hub.prompts.quarantined_segments() == 1);
-    CHECK(hub.prompts.check(harmful) == verdict::quarantined);
+    CHECK(hub.crashes.quarantined_segments() == 1);
+    CHECK(hub.crashes.check(harmful, "id").result == verdict::quarantined);
 }
 
 // Guards against a segment that is quarantined anew, after a release, and not recorded.
@@ -146,13 +146,13 @@
     guarded_gateway hub("g1");
     hub.lose_targets(3);
     REQUIRE(hub.execute_write(content));
-    hub.prompts.on_under_way(harmful);
+    hub.crashes.on_under_way(harmful);
     hub.loop.advance(300ms);
     REQUIRE(hub.execute_write(content));
     hub.lose_targets(3);
-    CHECK(hub.prompts.check(harmful) == verdict::quarantined);
+    CHECK(hub.crashes.check(harmful, "id").result == verdict::quarantined);
     REQUIRE(hub.execute_write(content));
     guarded_gateway restarted("g1");
     restarted.registry.set_entries(content);
-    CHECK(restarted.prompts.check(harmful) == verdict::quarantined);
+    CHECK(restarted.crashes.check(harmful, "id").result == verdict::quarantined);
 }
