--- a/tests/admission/test_crash_quarantine.cpp
+++ b/tests/admission/test_crash_quarantine.cpp
@@ -282,3 +282,108 @@
     CHECK(std::count_if(sent.begin(), sent.end(),
                         [](const auto& each) { return each.suspect == bad; }) == 1);
 }
+
+namespace {
+
+constexpr std::uint64_t digest = 0xdead;
+const admission::suspect_list repeated{{digest, admission::request_depth}};
+
+admission::suspect_list request_with(std::uint64_t other_digest,
+                                     const std::vector<std::uint64_t>& shared) {
+    auto result = prompt_of(shared);
+    result.push_back({other_digest, admission::request_depth});
+    return result;
+}
+
+// Asks for as long as the request is held, at most a minute.
+verdict verdict_after_hold(quarantine_under_test& quarantine,
+                           const admission::suspect_list& request) {
+    auto result = quarantine.check(request, quarantine.now).result;
+    for (int i = 0; i < 1500 && result == verdict::held; ++i) {
+        quarantine.now += 40ms;
+        result = quarantine.check(request, quarantine.now).result;
+    }
+    return result;
+}
+
+} // namespace
+
+// Guards against rejecting a request because it was in progress at several lost targets by
+// coincidence: copies are held until one has been tried.
+TEST_CASE("crash quarantine: a request at three lost targets is held, tried, and then rejected") {
+    quarantine_under_test quarantine;
+    quarantine.lose(repeated, 1, 2, false);
+    CHECK(quarantine.check(repeated, quarantine.now).result == verdict::admitted);
+    quarantine.lose(repeated, 3, 3, false);
+    CHECK(quarantine.quarantined_requests() == 1);
+    CHECK(quarantine.check(repeated, quarantine.now).result == verdict::held);
+    REQUIRE(verdict_after_hold(quarantine, repeated) == verdict::trial);
+    CHECK(quarantine.check(repeated, quarantine.now).result == verdict::held);
+    quarantine.on_target_lost(repeated, 4, false, verdict::trial, quarantine.now);
+    CHECK(quarantine.check(repeated, quarantine.now).result == verdict::quarantined);
+}
+
+// Guards against holding a sound request for longer than its trial takes.
+TEST_CASE("crash quarantine: a request whose trial gets a response is sent again") {
+    quarantine_under_test quarantine;
+    quarantine.lose(repeated, 1, 3, false);
+    REQUIRE(verdict_after_hold(quarantine, repeated) == verdict::trial);
+    quarantine.on_under_way(repeated, quarantine.now);
+    CHECK(quarantine.check(repeated, quarantine.now).result == verdict::admitted);
+    CHECK(quarantine.quarantined_requests() == 0);
+}
+
+// Guards against blaming a request for losses of which only a part were its own.
+TEST_CASE("crash quarantine: a request needs a fourth loss if targets were lost without it") {
+    quarantine_under_test quarantine;
+    quarantine.lose(repeated, 1, 1, false);
+    quarantine.lose(request_with(0xb1, {}), 9, 9, false);
+    quarantine.lose(repeated, 2, 3, false);
+    CHECK(quarantine.quarantined_requests() == 0);
+    quarantine.lose(repeated, 4, 4, false);
+    CHECK(quarantine.quarantined_requests() == 1);
+}
+
+// Guards against a retry that crashes its next target so soon that both losses count once.
+TEST_CASE("crash quarantine: losses of a request count although they are milliseconds apart") {
+    quarantine_under_test quarantine;
+    for (std::uint32_t target = 1; target <= 3; ++target) {
+        quarantine.now += 15ms;
+        quarantine.on_target_lost(repeated, target, false, verdict::admitted, quarantine.now);
+    }
+    CHECK(quarantine.quarantined_requests() == 1);
+}
+
+// Guards against blaming the prompt of a harmful request, which sound requests share.
+TEST_CASE("crash quarantine: the segments of a harmful request are not blamed for its losses") {
+    quarantine_under_test quarantine;
+    quarantine.lose(request_with(digest, {common, bad}), 1, 6);
+    CHECK(quarantine.quarantined_requests() == 1);
+    CHECK(quarantine.quarantined_segments() == 0);
+}
+
+// Guards against a harmful segment that hides behind the retries of one request.
+TEST_CASE("crash quarantine: a segment is blamed at the third loss although a request had two") {
+    quarantine_under_test quarantine;
+    quarantine.lose(request_with(0xb1, {common, bad}), 1, 2);
+    quarantine.lose(request_with(0xb2, {common, bad}), 3, 3);
+    CHECK(quarantine.quarantined_segments() == 1);
+    CHECK(quarantine.is_quarantined(prompt_of({bad})));
+}
+
+// Guards against a sound request that stays quarantined with the harmful one beside it.
+TEST_CASE("crash quarantine: what was lost with a harmful request is released when it is found") {
+    quarantine_under_test quarantine;
+    const admission::suspect_list neighbour{{0x1, admission::request_depth}};
+    for (std::uint32_t target = 1; target <= 3; ++target) {
+        quarantine.now += 1s;
+        quarantine.on_target_lost(neighbour, target, false, verdict::admitted, quarantine.now);
+        quarantine.on_target_lost(repeated, target, false, verdict::admitted, quarantine.now);
+    }
+    CHECK(quarantine.is_quarantined(neighbour));
+    quarantine.lose(repeated, 4, 4, false);
+    REQUIRE(verdict_after_hold(quarantine, repeated) == verdict::trial);
+    quarantine.on_target_lost(repeated, 5, false, verdict::trial, quarantine.now);
+    CHECK_FALSE(quarantine.is_quarantined(neighbour));
+    CHECK(quarantine.is_quarantined(repeated));
+}
--- a/tests/gateway/test_crashing_requests.cpp
+++ b/tests/gateway/test_crashing_requests.cpp
@@ -161,3 +161,35 @@
     CHECK(asked > 100);
     CHECK(served >= asked * 19 / 20);
 }
+
+// Guards against copies that are rejected although a trial would show that they are sound.
+TEST_CASE("crashing requests: copies are held until one has been tried, and then sent") {
+    gateway_harness harness(3);
+    harness.send("/look/1");
+    harness.last_call().respond(200, "ok");
+    harness.process_events();
+    const auto digest =
+        std::stoull(harness.events.last("request.ended")->text("digest"), nullptr, 16);
+    const admission::suspect_list suspects{{digest, admission::request_depth}};
+    for (std::uint32_t target = 1; target <= 3; ++target) {
+        harness.advance(20ms);
+        harness.crashes.on_target_lost(suspects, target, false,
+                                       gateway::crash_guard::verdict::admitted);
+    }
+    const auto calls = harness.call_count();
+    auto& first = harness.send("/look/1");
+    auto& second = harness.send("/look/1");
+    CHECK(harness.call_count() == calls);
+    CHECK_FALSE(first.response.status.has_value());
+    for (int i = 0; i < 30 && harness.call_count() == calls; ++i)
+        harness.advance(40ms);
+    REQUIRE(harness.call_count() == calls + 1);
+    harness.last_call().respond(200, "ok");
+    for (int i = 0; i < 3 && harness.call_count() == calls + 1; ++i)
+        harness.advance(40ms);
+    REQUIRE(harness.call_count() == calls + 2);
+    harness.last_call().respond(200, "ok");
+    harness.process_events();
+    CHECK(first.response.status == 200);
+    CHECK(second.response.status == 200);
+}
