Gateway log: software version of targets, and the attempt that a caller's request resumes

The hypotheses of docs/incidents/streams-across-software-versions.md cannot be told apart without them: target.added and the requests' lines had neither. Responses are unchanged.

--- a/src/discovery/target.hpp
+++ b/src/discovery/target.hpp
@@ -16,6 +16,9 @@
     helpers::service_id service;
     helpers::endpoint address;
     std::string data_centre;
+    // Version of the target's software; empty if it is not stated. What two versions write into one
+    // stream does not fit together.
+    std::string software;
     bool is_draining = false;
     std::uint32_t slots = 0;
     // Start of this incarnation in milliseconds since the Unix epoch; 0 if it is not stated.
--- a/src/discovery/target_catalog.cpp
+++ b/src/discovery/target_catalog.cpp
@@ -190,6 +190,7 @@
                        {{"target", entry.registration.name},
                         {"address", helpers::to_string(entry.registration.address)},
                         {"data_centre", entry.registration.data_centre},
+                        {"software", entry.registration.software},
                         {"started_at", entry.registration.started_at},
                         {"why", std::string(reason)}});
 }
--- a/src/gateway/header_names.hpp
+++ b/src/gateway/header_names.hpp
@@ -19,6 +19,9 @@
     // The caller's estimate of the output tokens.
     std::string length_hint = "x-length-hint";
     std::string last_event_id = "last-event-id";
+    // Set by a caller that takes up a stream again: the id of its attempt that brought the first
+    // event.
+    std::string resumed_attempt = "x-resumes";
     // The organisation to which the caller's API key belongs.
     std::string organisation = "x-organisation";
     // Name of the target to which the request is sent. A target of another name rejects the
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -190,6 +190,7 @@
 void proxied_request::on_assigned(assignment assigned) {
     this->dispatch_id = 0;
     this->last_target_name = assigned.target->registration.name;
+    this->last_target_software = assigned.target->registration.software;
     this->current_assignment = std::move(assigned);
     this->queue_wait_ms = this->elapsed_milliseconds();
     // The dispatcher calls this while it updates its own state, so the attempt starts later.
@@ -353,6 +354,7 @@
     this->services.events.write(kernel::severity::warning, "request.attempt_failed", std::nullopt,
                                 {{"request_id", this->metadata.id},
                                  {"target", this->last_target_name},
+                                 {"software", this->last_target_software},
                                  {"attempt", std::uint64_t{this->connect_attempts}},
                                  {"reason", reason.detail},
                                  {"may_have_run", outcome != attempt_outcome::not_run},
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -166,6 +166,7 @@
     std::optional<assignment> current_assignment;
     // Name of the most recently assigned target, for the log.
     std::string last_target_name;
+    std::string last_target_software;
     std::unique_ptr<http::client_call> call;
     std::vector<std::uint64_t> tried_targets;
     // The target that returned an error response, as long as it is the only one. If a second target
--- a/src/gateway/proxied_request_finish.cpp
+++ b/src/gateway/proxied_request_finish.cpp
@@ -137,6 +137,8 @@
          {"digest", helpers::to_hex(this->digest)},
          {"version", this->table == nullptr ? 0 : this->table->values().version},
          {"target", this->last_target_name},
+         {"software", this->last_target_software},
+         {"resumes", std::string(this->metadata.resumed_attempt)},
          {"outcome", std::string(outcome)},
          {"reason", std::string(reason)},
          {"status", std::int64_t{this->status}},
--- a/src/gateway/request_metadata.cpp
+++ b/src/gateway/request_metadata.cpp
@@ -118,6 +118,8 @@
             tokens = field.value;
         } else if (field.name == names.last_event_id) {
             metadata.last_event_id = field.value;
+        } else if (field.name == names.resumed_attempt) {
+            metadata.resumed_attempt = trimmed(field.value);
         } else if (field.name == "authorization" && field.value.starts_with(bearer_scheme)) {
             metadata.api_key = trimmed(std::string_view(field.value).substr(bearer_scheme.size()));
         }
--- a/src/gateway/request_metadata.hpp
+++ b/src/gateway/request_metadata.hpp
@@ -21,6 +21,8 @@
     // API key of an organisation, without the authentication scheme.
     std::string_view api_key;
     std::string_view last_event_id;
+    // The attempt that brought the first event of a stream that the caller takes up again.
+    std::string_view resumed_attempt;
 };
 
 request_metadata read_request_metadata(const http::server_request& request,
