Failing test: streams go on at another software version

Without a network, on one gateway: a broken stream is resumed at any version, within a response and when its caller takes it up, and one of unknown version too.

--- /dev/null
+++ b/tests/gateway/test_stream_versions.cpp
@@ -0,0 +1,128 @@
+// Tests of streams that go on at another target while targets of several software versions serve.
+#include "tests/gateway/gateway_harness.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace samphirespool;
+using namespace std::chrono_literals;
+using tests::gateway_harness;
+
+namespace {
+
+constexpr std::string_view three_events = "id: 1\n\nid: 2\n\nid: 3\n\n";
+
+void add_target(gateway_harness& harness, const std::string& name, const std::string& software) {
+    auto added = tests::make_target(name, "desk");
+    added.software = software;
+    harness.catalog.update(std::move(added), harness.loop.time().now());
+}
+
+std::string software_of(const gateway_harness& harness, const tests::scripted_call& call) {
+    const auto name = call.header("x-expected-target");
+    for (const auto& each : harness.catalog.all_targets())
+        if (each->registration.name == name)
+            return each->registration.software;
+    return {};
+}
+
+// Begins a stream whose target sends three events, and returns that target's call.
+tests::scripted_call& begin_stream(gateway_harness& harness) {
+    harness.send("/talk/1");
+    auto& call = harness.last_call();
+    call.connect();
+    call.head(200);
+    call.body(three_events);
+    return call;
+}
+
+http::header_list take_up(const std::string& attempt) {
+    return {{"last-event-id", "3"}, {"x-resumes", attempt}};
+}
+
+} // namespace
+
+// Guards against a gateway that resumes a stream within its response at another software version.
+TEST_CASE("stream versions: a broken stream goes on at the version that began it" *
+          doctest::should_fail()) {
+    for (int i = 0; i < 20; ++i) {
+        gateway_harness harness(0);
+        for (const auto* name : {"a1", "a2"})
+            add_target(harness, name + std::to_string(i), "v1");
+        for (const auto* name : {"b1", "b2", "b3", "b4"})
+            add_target(harness, name + std::to_string(i), "v2");
+        auto& first = begin_stream(harness);
+        const auto began_at = software_of(harness, first);
+        first.fail(true);
+        harness.process_events();
+        REQUIRE(harness.call_count() == 2);
+        CHECK(software_of(harness, harness.last_call()) == began_at);
+    }
+}
+
+// Guards against a stream that goes on at another version because its own has no target left.
+TEST_CASE("stream versions: a broken stream ends if no target of its version is left" *
+          doctest::should_fail()) {
+    gateway_harness harness(0);
+    add_target(harness, "a1", "v1");
+    auto& first = begin_stream(harness);
+    add_target(harness, "b1", "v2");
+    first.fail(true);
+    harness.process_events();
+    CHECK(harness.call_count() == 1);
+    CHECK(harness.callers.front().is_finished);
+    CHECK(harness.callers.front().response.broken);
+}
+
+// Guards against a caller's further attempt that is sent to any version.
+TEST_CASE(
+    "stream versions: a stream that its caller takes up goes on at the version that began it" *
+    doctest::should_fail()) {
+    for (int i = 0; i < 20; ++i) {
+        gateway_harness harness(0);
+        add_target(harness, "a" + std::to_string(i), "v1");
+        for (const auto* name : {"b1", "b2", "b3"})
+            add_target(harness, name + std::to_string(i), "v2");
+        // Other requests before, so that the choices of target differ.
+        for (int other = 0; other < i; ++other) {
+            harness.send("/look/1");
+            harness.last_call().respond(200, "ok");
+        }
+        auto& first = begin_stream(harness);
+        const auto began_at = software_of(harness, first);
+        harness.callers.back().response.disconnect_handler();
+        harness.process_events();
+        const auto calls = harness.call_count();
+        harness.send("/talk/1", take_up("id-" + std::to_string(i + 1)));
+        REQUIRE(harness.call_count() == calls + 1);
+        CHECK(software_of(harness, harness.last_call()) == began_at);
+    }
+}
+
+// Guards against guessing the version of a stream that this gateway knows nothing of.
+TEST_CASE("stream versions: a stream of unknown version is not taken up while versions differ" *
+          doctest::should_fail()) {
+    gateway_harness harness(0);
+    add_target(harness, "a1", "v1");
+    add_target(harness, "b1", "v2");
+    harness.advance(60s);
+    auto& caller = harness.send("/talk/1", take_up("elsewhere"));
+    harness.advance(1s);
+    CHECK(harness.call_count() == 0);
+    CHECK(caller.response.status == 503);
+    CHECK(http::find_header(caller.response.headers, "x-outcome") == "not run");
+    CHECK(http::find_header(caller.response.headers, "retry-after").has_value());
+}
+
+// Guards against refusing streams where only one version has served for as long as a stream lasts.
+TEST_CASE("stream versions: a stream of unknown version is taken up if there is only one") {
+    gateway_harness harness(0);
+    add_target(harness, "a1", "v1");
+    add_target(harness, "a2", "v1");
+    harness.advance(60s);
+    harness.send("/talk/1", take_up("elsewhere"));
+    harness.advance(500ms);
+    REQUIRE(harness.call_count() == 1);
+    CHECK(harness.last_call().header("last-event-id") == "3");
+}
