--- a/src/admission/crash_quarantine.hpp
+++ b/src/admission/crash_quarantine.hpp
@@ -32,6 +32,10 @@
 // Depth of a request as a whole: it comes after all segments of its prompt.
 inline constexpr std::uint8_t request_depth = 255;
 
+constexpr bool is_request(std::uint8_t depth) {
+    return depth == request_depth;
+}
+
 // The segments that other requests can share, which are all but the last, and then the request
 // itself.
 suspect_list suspects_of(const placement::prompt& prompt, std::uint64_t request_digest);
@@ -118,6 +122,10 @@
     static constexpr std::size_t max_sent_evidence = 96;
 
 private:
+    // Losses for which a request is blamed.
+    static constexpr std::size_t request_losses = 3;
+    static constexpr std::uint8_t max_failed_trials = 3;
+
     struct loss {
         std::uint32_t incarnation_hash = 0;
         bool had_begun = false;
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -36,7 +36,7 @@
 crash_guard::decision crash_guard::check(std::span<const admission::suspect> request,
                                          std::string_view request_id) {
     const auto result = this->quarantine.check(request, this->loop.time().now());
-    const bool is_request = result.cause && result.cause->depth == admission::request_depth;
+    const bool is_request = result.cause && admission::is_request(result.cause->depth);
     if (result.result == verdict::quarantined)
         ++(is_request ? this->request_rejection_count : this->prompt_rejection_count);
     if (result.result == verdict::trial) {
@@ -65,7 +65,7 @@
 
 void crash_guard::log_transitions() {
     for (const auto& each : this->quarantine.take_transitions()) {
-        const bool is_request = each.changed.depth == admission::request_depth;
+        const bool is_request = admission::is_request(each.changed.depth);
         const auto* quarantined = is_request ? "request.quarantined" : "segment.quarantined";
         const auto* released = is_request ? "request.released" : "segment.released";
         this->events.write(each.is_quarantined ? kernel::severity::warning : kernel::severity::info,
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -44,7 +44,7 @@
 constexpr helpers::duration min_software_history = std::chrono::seconds(20);
 
 kernel::error quarantine_reason(const crash_guard::decision& decision) {
-    if (decision.cause && decision.cause->depth == admission::request_depth)
+    if (decision.cause && admission::is_request(decision.cause->depth))
         return {error_kind::request_quarantined, "the request has crashed several targets"};
     return {error_kind::prompt_quarantined, "a segment of the prompt has crashed several targets"};
 }
@@ -302,9 +302,10 @@
     if (this->quarantine_verdict != crash_guard::verdict::trial &&
         this->services.crashes.is_quarantined(this->suspects)) {
         this->defer([this] {
-            this->close_attempt(attempt_outcome::not_run,
-                                {error_kind::request_quarantined, "a suspect was quarantined"},
-                                attempt_result::neutral);
+            this->close_attempt(
+                attempt_outcome::not_run,
+                {error_kind::request_quarantined, "quarantined while the request was queued"},
+                attempt_result::neutral);
             this->request_target();
         });
         return false;
--- a/tests/exchange/test_exchange_node.cpp
+++ b/tests/exchange/test_exchange_node.cpp
@@ -667,7 +667,13 @@
 
 // Guards against a caller that takes up its stream at a gateway that cannot know its version.
 TEST_CASE("exchange: the version of a stream is found from any gateway") {
-    for (const auto [count, data_centres] : {std::pair(9, 1), std::pair(9, 3), std::pair(60, 4)}) {
+    struct shape {
+        int gateways;
+        int data_centres;
+    };
+    for (const auto& each : {shape{9, 1}, shape{9, 3}, shape{60, 4}}) {
+        const auto count = each.gateways;
+        const auto data_centres = each.data_centres;
         CAPTURE(count);
         CAPTURE(data_centres);
         fleet gateways(count, data_centres);
@@ -682,8 +688,9 @@
 // Guards against the loss of a stream's version together with the gateway where it began and the
 // hub.
 TEST_CASE("exchange: the version of a stream survives its gateway and the hub") {
-    for (const auto [count, data_centres] : {std::pair(9, 1), std::pair(60, 4)}) {
+    for (const auto count : {9, 60}) {
         CAPTURE(count);
+        const auto data_centres = count == 9 ? 1 : 4;
         fleet gateways(count, data_centres);
         gateways.run_for(1s);
         const auto origin =
