--- a/src/discovery/target_catalog.cpp
+++ b/src/discovery/target_catalog.cpp
@@ -182,9 +182,6 @@
 std::optional<std::uint32_t> target_catalog::only_software(helpers::service_id service,
                                                            helpers::duration time,
                                                            helpers::time_point now) const {
-    if (!this->has_first_list || this->is_removal_uncertain(now) ||
-        now - this->complete_since < time)
-        return std::nullopt;
     std::set<std::uint32_t> versions;
     for (const auto& each : this->targets_of(service))
         versions.insert(each->software_hash);
@@ -196,6 +193,11 @@
     return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
 }
 
+bool target_catalog::is_complete_for(helpers::duration time, helpers::time_point now) const {
+    return this->has_first_list && !this->is_removal_uncertain(now) &&
+           now - this->complete_since >= time;
+}
+
 void target_catalog::update_missing_state(helpers::service_id service) {
     auto& targets = this->by_service[service];
     const auto missing = std::count_if(targets.list.begin(), targets.list.end(),
--- a/src/discovery/target_catalog.hpp
+++ b/src/discovery/target_catalog.hpp
@@ -77,10 +77,12 @@
 
     std::span<const std::shared_ptr<tracked_target>> targets_of(helpers::service_id service) const;
     std::vector<std::shared_ptr<tracked_target>> all_targets() const;
-    // The software version of all targets that the service has had for the given time, if there was
-    // only one and this catalog has been up to date all the while.
+    // The software version of all targets that this catalog has seen in the service within the
+    // given time, if there was only one.
     std::optional<std::uint32_t> only_software(helpers::service_id service, helpers::duration time,
                                                helpers::time_point now) const;
+    // Whether the catalog has missed no target within the given time.
+    bool is_complete_for(helpers::duration time, helpers::time_point now) const;
     // Whether the target may receive new requests.
     bool is_eligible(const tracked_target& entry) const;
 
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -180,9 +180,10 @@
     if (!attempt.empty())
         this->stream_software = this->services.origins.find(attempt);
     const auto longest_stream = std::max(min_software_history, 2 * this->route->timeout);
-    if (!this->stream_software)
-        this->stream_software =
-            this->services.catalog.only_software(this->service, longest_stream, now);
+    // A caller that names no attempt gives nothing to look up.
+    const auto& catalog = this->services.catalog;
+    if (!this->stream_software && (attempt.empty() || catalog.is_complete_for(longest_stream, now)))
+        this->stream_software = catalog.only_software(this->service, longest_stream, now);
     if (this->stream_software)
         return true;
     if (attempt.empty() || this->services.origins.is_unknown(attempt, now) ||
--- a/tests/gateway/test_stream_versions.cpp
+++ b/tests/gateway/test_stream_versions.cpp
@@ -163,6 +163,20 @@
     CHECK(harness.call_count() == 0);
 }
 
+// Guards against refusing the streams of callers that name no attempt, wherever a gateway has just
+// started.
+TEST_CASE("stream versions: without an attempt, the versions that the gateway has seen decide") {
+    gateway_harness harness(0);
+    harness.catalog.replace({}, harness.loop.time().now());
+    add_target(harness, "a1", "v1");
+    harness.send("/talk/1", {{"last-event-id", "3"}});
+    CHECK(harness.call_count() == 1);
+    add_target(harness, "b1", "v2");
+    auto& mixed = harness.send("/talk/1", {{"last-event-id", "3"}});
+    CHECK(mixed.response.status == 503);
+    CHECK(harness.call_count() == 1);
+}
+
 // Guards against waiting for a target of a version that no longer serves.
 TEST_CASE("stream versions: a taken-up stream without a target of its version is refused at once") {
     gateway_harness harness(0);
