--- a/tests/discovery/test_target_catalog.cpp
+++ b/tests/discovery/test_target_catalog.cpp
@@ -98,3 +98,42 @@
     CHECK(fixture.is_eligible("b"));
     CHECK(fixture.is_eligible("z"));
 }
+
+// Guards against two versions of a target's software being taken for one target.
+TEST_CASE("catalog: a target that registers with other software is a later incarnation") {
+    catalog_fixture fixture;
+    const auto serial = fixture.find("a")->serial;
+    auto changed = make_target("a", "desk");
+    changed.software = "v2";
+    fixture.catalog.update(changed, fixture.now);
+    CHECK(fixture.find("a")->serial != serial);
+    CHECK(fixture.find("a")->software_hash == discovery::software_hash("v2"));
+}
+
+// Guards against forgetting the version of targets that have left while their streams still go on.
+TEST_CASE("catalog: the only software version of a service counts former targets for a time") {
+    catalog_fixture fixture;
+    CHECK(fixture.catalog.only_software(desk, 20s, fixture.now) == discovery::software_hash(""));
+    auto added = make_target("e", "desk");
+    added.software = "v2";
+    fixture.catalog.update(added, fixture.now);
+    CHECK_FALSE(fixture.catalog.only_software(desk, 20s, fixture.now));
+    for (const auto* name : {"a", "b", "c", "d"})
+        fixture.catalog.remove(name, fixture.now);
+    CHECK_FALSE(fixture.catalog.only_software(desk, 20s, fixture.now + 19s));
+    CHECK(fixture.catalog.only_software(desk, 20s, fixture.now + 21s) ==
+          discovery::software_hash("v2"));
+}
+
+// Guards against a catalog that vouches for a time in which it has missed targets.
+TEST_CASE("catalog: it is complete since its first list, and since the latest registry outage") {
+    catalog_fixture fixture;
+    CHECK_FALSE(fixture.catalog.is_complete_for(0s, fixture.now));
+    fixture.catalog.replace({make_target("a", "desk")}, fixture.now);
+    CHECK_FALSE(fixture.catalog.is_complete_for(20s, fixture.now + 19s));
+    CHECK(fixture.catalog.is_complete_for(20s, fixture.now + 20s));
+    fixture.catalog.on_registry_lost();
+    fixture.catalog.on_registry_regained(fixture.now + 60s);
+    CHECK_FALSE(fixture.catalog.is_complete_for(20s, fixture.now + 79s));
+    CHECK(fixture.catalog.is_complete_for(20s, fixture.now + 80s));
+}
