Store eras and leaving targets in the log

feed.era names the era that the store states, with the revision known before; feed.list_ignored names a list that was dropped for its revision; request.ended says whether the target stated that it leaves. Nothing decides by them yet.

--- a/src/discovery/feed.hpp
+++ b/src/discovery/feed.hpp
@@ -54,6 +54,9 @@
     // The names of all objects of the collection, if they are known; objects with other names were
     // removed. `objects` then holds at least those that changed since the receiver's revision.
     std::optional<std::vector<std::string>> all_names = std::nullopt;
+    // Rises each time that the source comes back from an older copy, which lacks its latest changes
+    // and gives their revisions out again. 0 if the source did not state it.
+    std::uint64_t era = 0;
 };
 
 // Whether a list may be some seconds old, which is cheaper for the store.
--- a/src/discovery/feed_watch.cpp
+++ b/src/discovery/feed_watch.cpp
@@ -89,6 +89,17 @@
                                     });
 }
 
+void feed_watch::note_era(const feed_page& page) {
+    if (page.era == 0 || page.era == this->stated_era)
+        return;
+    this->events.write(kernel::severity::info, "feed.era", std::nullopt,
+                       {{"collection", std::string(to_string(this->kind))},
+                        {"era", page.era},
+                        {"former_era", std::exchange(this->stated_era, page.era)},
+                        {"revision", page.revision},
+                        {"known_revision", this->revision}});
+}
+
 void feed_watch::on_listed(feed_result result) {
     auto* page = std::get_if<feed_page>(&result);
     if (page == nullptr) {
@@ -96,6 +107,7 @@
         this->on_failure(reason != nullptr ? *reason : kernel::error{});
         return;
     }
+    this->note_era(*page);
     const auto finished = std::exchange(this->turn, std::nullopt);
     // The watch starts at the lowest revision of the pages, so that it returns what has changed
     // while later pages were read. Pages of a list that may lag need not be in order.
@@ -116,8 +128,14 @@
     page.revision = *std::exchange(this->partial_revision, std::nullopt);
     this->needs_list = false;
     // A peer may have sent later content in the meantime.
-    if (page.revision < this->revision)
+    if (page.revision < this->revision) {
+        this->events.write(kernel::severity::warning, "feed.list_ignored", std::nullopt,
+                           {{"collection", std::string(to_string(this->kind))},
+                            {"revision", page.revision},
+                            {"known_revision", this->revision},
+                            {"era", this->stated_era}});
         return;
+    }
     page.all_names.emplace();
     for (const auto& object : page.objects)
         page.all_names->push_back(object.name);
@@ -152,6 +170,7 @@
         return;
     }
     const auto& page = std::get<feed_page>(result);
+    this->note_era(page);
     this->on_confirmed(helpers::duration::zero(), false);
     // A delayed response can be older than what a peer has sent meanwhile.
     if (page.revision >= this->revision)
--- a/src/discovery/feed_watch.hpp
+++ b/src/discovery/feed_watch.hpp
@@ -88,6 +88,7 @@
     void cancel_call();
     void list();
     void watch(bool is_probe);
+    void note_era(const feed_page& page);
     void on_listed(feed_result result);
     void on_watched(feed_result result);
     void apply_list();
@@ -124,6 +125,8 @@
     // Names of the objects that exist.
     std::set<std::string, std::less<>> names;
     std::uint64_t revision = 0;
+    // The era that the source stated last; 0 if none.
+    std::uint64_t stated_era = 0;
     // When the source confirmed the content; empty after a list that may lag.
     std::optional<helpers::time_point> confirmed_at;
     // Whether a peer, and not the source itself, confirmed the content at that time.
--- a/src/gateway/header_names.hpp
+++ b/src/gateway/header_names.hpp
@@ -32,6 +32,8 @@
     // Set in responses of a target in need: requests per second that it takes from all gateways
     // together, as a decimal number, for as long as its responses have it.
     std::string target_limit = "x-target-limit";
+    // Set to 1 in all responses of a target that is about to stop.
+    std::string target_leaving = "x-target-leaving";
     // Set in rejections by a target: the request was not executed.
     std::string not_run = "x-not-run";
     // Priority of the request, from 0 (most urgent) to 9.
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -189,6 +189,8 @@
     std::uint32_t connect_attempts = 0;
     // A finished attempt may have run the request.
     bool may_have_run = false;
+    // The latest response stated that its target is about to stop.
+    bool target_is_leaving = false;
     // The target of the current attempt has sent a response head.
     bool has_head = false;
     // The response to the current attempt has got past its start.
--- a/src/gateway/proxied_request_finish.cpp
+++ b/src/gateway/proxied_request_finish.cpp
@@ -138,6 +138,7 @@
          {"version", this->table == nullptr ? 0 : this->table->values().version},
          {"target", this->last_target_name},
          {"software", this->last_target_software},
+         {"target_leaving", this->target_is_leaving},
          {"resumes", std::string(this->metadata.resumed_attempt)},
          {"outcome", std::string(outcome)},
          {"reason", std::string(reason)},
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -69,6 +69,7 @@
 void proxied_request::on_head(int response_status, const http::header_list& headers) {
     const auto& names = this->services.names;
     this->has_head = true;
+    this->target_is_leaving = http::find_header(headers, names.target_leaving) == "1";
     this->read_occupancy_report(headers);
     if (response_status == status_misdirected) {
         this->services.catalog.remove_replaced(this->current_assignment->target->serial,
