Feeds order what they read by the era of the store, then by revision

Callers saw requests refused as an older configuration says, seconds after a later one was acknowledged. After the store came back from an older copy its revisions were given out again; a gateway watched on from the revision that it had, and a hub sent its followers the changes since theirs, so that what was written in between was never read. A list at a lower revision was dropped.

Positions are (era, revision). A page of a later era makes a feed list the collection anew, one feed or peer that sees the era tells all feeds, hubs send everything to followers of an earlier era, and pages of an earlier era are ignored.

--- a/src/discovery/feed.hpp
+++ b/src/discovery/feed.hpp
@@ -5,6 +5,7 @@
 #include "helpers/time.hpp"
 #include "kernel/error.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -43,6 +44,17 @@
     std::uint64_t revision = 0;
 };
 
+// A moment in the life of a source. Ordered by era first: revisions of different eras say nothing
+// about each other.
+struct source_position {
+    // Rises each time that the source comes back from an older copy, which lacks its latest changes
+    // and gives their revisions out again. 0 if the source states none.
+    std::uint64_t era = 0;
+    std::uint64_t revision = 0;
+
+    friend auto operator<=>(const source_position&, const source_position&) = default;
+};
+
 // A page of a list, or the changes that a watch returned.
 struct feed_page {
     std::vector<feed_object> objects;
@@ -54,8 +66,7 @@
     // The names of all objects of the collection, if they are known; objects with other names were
     // removed. `objects` then holds at least those that changed since the receiver's revision.
     std::optional<std::vector<std::string>> all_names = std::nullopt;
-    // Rises each time that the source comes back from an older copy, which lacks its latest changes
-    // and gives their revisions out again. 0 if the source did not state it.
+    // Era of the revisions; 0 if the source did not state it. See source_position.
     std::uint64_t era = 0;
 };
 
@@ -120,6 +131,10 @@
     virtual void replace(const std::vector<feed_object>& objects) = 0;
     virtual void change(std::span<const feed_object> objects) = 0;
 
+    // Called before the first content of a later era than the content so far. It may lack what was
+    // known and bring back what was removed, until its writers have written again.
+    virtual void on_source_restored() {}
+
     // Called when the content is no longer confirmed by the source, and when it is again.
     virtual void on_source_lost() {}
     virtual void on_source_regained() {}
--- a/src/discovery/feed_watch.cpp
+++ b/src/discovery/feed_watch.cpp
@@ -29,7 +29,9 @@
       source(source),
       receiver(receiver),
       kind(kind),
-      timing(timing) {}
+      timing(timing) {
+    gate.on_new_era([this] { this->on_new_era(); });
+}
 
 feed_watch::~feed_watch() {
     this->cancel_call();
@@ -63,7 +65,7 @@
 void feed_watch::cancel_call() {
     this->call.reset();
     this->partial_list.clear();
-    this->partial_revision.reset();
+    this->partial_position.reset();
     this->loop.cancel(std::exchange(this->call_timer, 0));
     if (const auto given = std::exchange(this->turn, std::nullopt))
         this->gate.withdraw(*given);
@@ -81,7 +83,7 @@
 
 void feed_watch::watch(bool is_probe) {
     const bool is_long_poll = this->is_continuous && !is_probe;
-    this->call = this->source.watch(this->kind, this->revision,
+    this->call = this->source.watch(this->kind, this->read_up_to.revision,
                                     is_long_poll ? this->timing.wait : query_wait,
                                     [this](feed_result result) {
                                         this->completed_call = std::move(this->call);
@@ -89,15 +91,29 @@
                                     });
 }
 
-void feed_watch::note_era(const feed_page& page) {
-    if (page.era == 0 || page.era == this->stated_era)
+void feed_watch::on_new_era() {
+    if (!this->has_listed || this->read_up_to.era >= this->gate.era())
         return;
-    this->events.write(kernel::severity::info, "feed.era", std::nullopt,
+    this->events.write(kernel::severity::warning, "feed.source_restored", std::nullopt,
                        {{"collection", std::string(to_string(this->kind))},
-                        {"era", page.era},
-                        {"former_era", std::exchange(this->stated_era, page.era)},
-                        {"revision", page.revision},
-                        {"known_revision", this->revision}});
+                        {"era", this->gate.era()},
+                        {"known_era", this->read_up_to.era},
+                        {"known_revision", this->read_up_to.revision}});
+    this->require_current_list();
+    if (!this->is_continuous)
+        return;
+    this->cancel_call();
+    this->request_call();
+}
+
+// A list that may lag could be older than the known content.
+void feed_watch::require_current_list() {
+    this->needs_list = true;
+    this->freshness = list_freshness::current;
+}
+
+std::uint64_t feed_watch::era_of(const feed_page& page) const {
+    return page.era != 0 ? page.era : this->read_up_to.era;
 }
 
 void feed_watch::on_listed(feed_result result) {
@@ -107,46 +123,62 @@
         this->on_failure(reason != nullptr ? *reason : kernel::error{});
         return;
     }
-    this->note_era(*page);
     const auto finished = std::exchange(this->turn, std::nullopt);
+    const source_position position{this->era_of(*page), page->revision};
+    const bool is_continued =
+        !this->partial_position || this->partial_position->era == position.era;
     // The watch starts at the lowest revision of the pages, so that it returns what has changed
     // while later pages were read. Pages of a list that may lag need not be in order.
-    this->partial_revision =
-        std::min(this->partial_revision.value_or(page->revision), page->revision);
+    this->partial_position = std::min(this->partial_position.value_or(position), position);
     std::move(page->objects.begin(), page->objects.end(), std::back_inserter(this->partial_list));
     const bool is_last = !page->more || page->objects.empty();
-    if (is_last)
+    if (!is_continued) {
+        // The source was restored between two pages.
+        this->partial_list.clear();
+        this->partial_position.reset();
+    } else if (is_last) {
         this->apply_list();
+    }
     this->gate.finish(*finished, true);
-    if (!is_last || this->is_continuous)
+    if (!is_continued || !is_last || this->is_continuous)
         this->call_after(helpers::duration::zero());
+    this->gate.learn_era(position.era);
 }
 
 void feed_watch::apply_list() {
+    const auto position = *std::exchange(this->partial_position, std::nullopt);
     feed_page page;
     page.objects = std::exchange(this->partial_list, {});
-    page.revision = *std::exchange(this->partial_revision, std::nullopt);
+    page.revision = position.revision;
+    page.era = position.era;
     this->needs_list = false;
     // A peer may have sent later content in the meantime.
-    if (page.revision < this->revision) {
+    if (position < this->read_up_to) {
         this->events.write(kernel::severity::warning, "feed.list_ignored", std::nullopt,
                            {{"collection", std::string(to_string(this->kind))},
-                            {"revision", page.revision},
-                            {"known_revision", this->revision},
-                            {"era", this->stated_era}});
+                            {"era", position.era},
+                            {"revision", position.revision},
+                            {"known_era", this->read_up_to.era},
+                            {"known_revision", this->read_up_to.revision}});
         return;
     }
     page.all_names.emplace();
     for (const auto& object : page.objects)
         page.all_names->push_back(object.name);
-    this->names = {page.all_names->begin(), page.all_names->end()};
-    this->revision = page.revision;
-    this->has_listed = true;
     this->listed_at = this->loop.time().now();
     if (this->freshness == list_freshness::current)
         this->on_confirmed(helpers::duration::zero(), false);
     else
         this->reachable = true;
+    this->apply_whole(page, position);
+}
+
+void feed_watch::apply_whole(const feed_page& page, const source_position& position) {
+    if (this->has_listed && position.era > this->read_up_to.era)
+        this->receiver.on_source_restored();
+    this->has_listed = true;
+    this->read_up_to = position;
+    this->names = {page.all_names->begin(), page.all_names->end()};
     this->receiver.replace(page.objects);
     if (this->page_handler)
         this->page_handler(page);
@@ -159,30 +191,34 @@
     }
     const auto finished = std::exchange(this->turn, std::nullopt);
     if (std::holds_alternative<history_lost>(result)) {
-        this->events.write(
-            kernel::severity::warning, "feed.history_lost", std::nullopt,
-            {{"collection", std::string(to_string(this->kind))}, {"revision", this->revision}});
-        this->needs_list = true;
-        // A list that may lag could be older than the known content.
-        this->freshness = list_freshness::current;
+        this->events.write(kernel::severity::warning, "feed.history_lost", std::nullopt,
+                           {{"collection", std::string(to_string(this->kind))},
+                            {"revision", this->read_up_to.revision}});
+        this->require_current_list();
         this->gate.finish(*finished, true);
         this->call_after(helpers::duration::zero());
         return;
     }
     const auto& page = std::get<feed_page>(result);
-    this->note_era(page);
-    this->on_confirmed(helpers::duration::zero(), false);
+    const source_position position{this->era_of(page), page.revision};
+    // Revisions of the earlier era were given out again, so that changes would be missed.
+    if (position.era > this->read_up_to.era)
+        this->require_current_list();
+    const bool is_current = !this->needs_list && position.era == this->read_up_to.era;
+    if (is_current)
+        this->on_confirmed(helpers::duration::zero(), false);
     // A delayed response can be older than what a peer has sent meanwhile.
-    if (page.revision >= this->revision)
+    if (is_current && position >= this->read_up_to)
         this->apply(page);
     this->gate.finish(*finished, true);
-    if (this->is_continuous)
-        this->call_after(page.objects.empty() ? helpers::duration::zero()
-                                              : this->timing.batch_delay);
+    if (this->is_continuous || this->needs_list)
+        this->call_after(!is_current || page.objects.empty() ? helpers::duration::zero()
+                                                             : this->timing.batch_delay);
+    this->gate.learn_era(position.era);
 }
 
 void feed_watch::apply(const feed_page& page) {
-    this->revision = std::max(this->revision, page.revision);
+    this->read_up_to.revision = std::max(this->read_up_to.revision, page.revision);
     for (const auto& object : page.objects) {
         if (object.is_removed)
             this->names.erase(object.name);
@@ -196,21 +232,19 @@
 }
 
 bool feed_watch::apply_from_peer(const feed_page& page, helpers::duration peer_age) {
-    const bool is_usable = page.all_names || (this->has_listed && !this->needs_list);
-    if (!is_usable || page.revision < this->revision || peer_age > this->max_age())
+    const source_position position{this->era_of(page), page.revision};
+    const bool is_new_era = position.era > this->read_up_to.era;
+    const bool is_usable = page.all_names || (this->has_listed && !this->needs_list && !is_new_era);
+    if (!is_usable || position < this->read_up_to || position.era < this->gate.era() ||
+        peer_age > this->max_age())
         return false;
     const bool was_listing = this->needs_list;
     if (!this->is_continuous || was_listing)
         this->cancel_call();
     this->on_confirmed(peer_age, true);
     this->needs_list = false;
-    if (!this->has_listed) {
-        this->has_listed = true;
-        this->revision = page.revision;
-        this->names = {page.all_names->begin(), page.all_names->end()};
-        this->receiver.replace(page.objects);
-        if (this->page_handler)
-            this->page_handler(page);
+    if (!this->has_listed || is_new_era) {
+        this->apply_whole(page, position);
     } else {
         auto changes = page;
         if (page.all_names) {
@@ -224,6 +258,7 @@
     }
     if (this->is_continuous)
         this->request_call();
+    this->gate.learn_era(position.era);
     return true;
 }
 
@@ -241,7 +276,7 @@
 
 void feed_watch::on_failure(const kernel::error& reason) {
     this->partial_list.clear();
-    this->partial_revision.reset();
+    this->partial_position.reset();
     const auto finished = std::exchange(this->turn, std::nullopt);
     this->set_lost(reason.detail);
     this->gate.finish(*finished, false);
@@ -253,7 +288,7 @@
     if (this->reachable || !this->has_listed)
         this->events.write(kernel::severity::warning, "feed.unreachable", std::nullopt,
                            {{"collection", std::string(to_string(this->kind))},
-                            {"revision", this->revision},
+                            {"revision", this->read_up_to.revision},
                             {"reason", std::string(reason)}});
     if (std::exchange(this->reachable, false))
         this->receiver.on_source_lost();
@@ -267,9 +302,9 @@
     // A peer may confirm content that is out of date here at once.
     if (age >= this->lost_age() || std::exchange(this->reachable, true))
         return;
-    this->events.write(
-        kernel::severity::info, "feed.reachable", std::nullopt,
-        {{"collection", std::string(to_string(this->kind))}, {"revision", this->revision}});
+    this->events.write(kernel::severity::info, "feed.reachable", std::nullopt,
+                       {{"collection", std::string(to_string(this->kind))},
+                        {"revision", this->read_up_to.revision}});
     this->receiver.on_source_regained();
 }
 
--- a/src/discovery/feed_watch.hpp
+++ b/src/discovery/feed_watch.hpp
@@ -63,8 +63,8 @@
     helpers::duration age(helpers::time_point now) const {
         return this->confirmed_at ? now - *this->confirmed_at : unknown_age;
     }
-    // Revision up to which the collection was read.
-    std::uint64_t position() const { return this->revision; }
+    // Position up to which the collection was read.
+    const source_position& position() const { return this->read_up_to; }
 
     // The handler receives every page that was applied, in order. After a list the page has the
     // names of all objects.
@@ -73,8 +73,9 @@
     }
 
     // Applies what a peer has read since this feed's position. Returns false and changes nothing if
-    // the page is older than the position or than the limit, or if it holds only changes and the
-    // collection was not listed yet.
+    // the page is older than the position or than the limit, if it is from an earlier era than the
+    // latest one that is known, or if it holds only changes and the collection was not listed yet
+    // in its era.
     bool apply_from_peer(const feed_page& page, helpers::duration peer_age);
 
     // Starts a new call to the source whenever one completes.
@@ -88,10 +89,16 @@
     void cancel_call();
     void list();
     void watch(bool is_probe);
-    void note_era(const feed_page& page);
+    // What is known stays in use, but is read anew.
+    void on_new_era();
+    void require_current_list();
+    // Era of the page; the era of the content so far if the page states none.
+    std::uint64_t era_of(const feed_page& page) const;
     void on_listed(feed_result result);
     void on_watched(feed_result result);
     void apply_list();
+    // Takes the page for the whole collection.
+    void apply_whole(const feed_page& page, const source_position& position);
     void apply(const feed_page& page);
     void on_failure(const kernel::error& reason);
     void on_confirmed(helpers::duration age, bool is_by_peer);
@@ -119,14 +126,13 @@
     kernel::timer_id age_timer = 0;
     // When age_timer expires, if it is set.
     helpers::time_point age_check_due{};
-    // Objects of the list pages that were read so far, and the lowest revision of these pages.
+    // Objects of the list pages that were read so far, and the lowest position of these pages,
+    // which are all of one era.
     std::vector<feed_object> partial_list;
-    std::optional<std::uint64_t> partial_revision;
+    std::optional<source_position> partial_position;
     // Names of the objects that exist.
     std::set<std::string, std::less<>> names;
-    std::uint64_t revision = 0;
-    // The era that the source stated last; 0 if none.
-    std::uint64_t stated_era = 0;
+    source_position read_up_to;
     // When the source confirmed the content; empty after a list that may lag.
     std::optional<helpers::time_point> confirmed_at;
     // Whether a peer, and not the source itself, confirmed the content at that time.
--- a/src/discovery/source_gate.cpp
+++ b/src/discovery/source_gate.cpp
@@ -57,6 +57,14 @@
     this->schedule_probe();
 }
 
+void source_gate::learn_era(std::uint64_t stated) {
+    if (stated <= this->latest_era)
+        return;
+    this->latest_era = stated;
+    for (const auto& handler : this->era_handlers)
+        handler();
+}
+
 void source_gate::set_backoff(const backoff_limits& updated) {
     if (updated == this->limits)
         return;
--- a/src/discovery/source_gate.hpp
+++ b/src/discovery/source_gate.hpp
@@ -1,6 +1,7 @@
 // Decides when the feeds of one gateway may call their common source. A failed call says something
 // about the path to the source, not about the feed: while the source is unreachable, one feed at a
-// time probes it with exponential backoff, and the others wait for the result.
+// time probes it with exponential backoff, and the others wait for the result. Also tells all feeds
+// when one of them, or a peer, has seen a new era of the source.
 #pragma once
 
 #include "helpers/time.hpp"
@@ -10,6 +11,8 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <utility>
+#include <vector>
 
 namespace samphirespool::discovery {
 
@@ -45,6 +48,14 @@
     // Reports the result of the turn's call.
     void finish(turn_id id, bool has_succeeded);
 
+    // The latest era that the source or a peer has stated; 0 if none has.
+    std::uint64_t era() const { return this->latest_era; }
+    // Calls the handlers of on_new_era() if the era is later than all before.
+    void learn_era(std::uint64_t stated);
+    void on_new_era(std::function<void()> handler) {
+        this->era_handlers.push_back(std::move(handler));
+    }
+
     void set_backoff(const backoff_limits& limits);
     bool is_source_reachable() const { return this->reachable; }
 
@@ -71,6 +82,8 @@
     turn_id last_turn = 0;
     // The turn whose call is the probe in progress, or 0.
     turn_id probe = 0;
+    std::uint64_t latest_era = 0;
+    std::vector<std::function<void()>> era_handlers;
     bool reachable = true;
     helpers::time_point last_success;
     // Set while a backoff is in progress.
--- a/src/exchange/exchange_node_messages.cpp
+++ b/src/exchange/exchange_node_messages.cpp
@@ -10,8 +10,10 @@
     report message;
     message.round = this->round;
     message.for_group = for_group;
+    message.era = this->gate.era();
     for (std::size_t i = 0; i < feed_count; ++i)
-        message.revisions[i] = this->feeds[i]->position();
+        if (const auto& position = this->feeds[i]->position(); position.era == message.era)
+            message.revisions[i] = position.revision;
     message.loads = std::move(loads);
     if (this->own_evidence)
         message.evidence = this->own_evidence();
@@ -69,6 +71,7 @@
     const auto now = this->loop.time().now();
     if (message.wants_updates)
         this->last_report_at = now;
+    this->gate.learn_era(message.era);
     this->merge_evidence(message.evidence);
     this->merge_limits(message.limits);
     if (this->origins != nullptr)
@@ -121,9 +124,10 @@
         feed_update update;
         update.collection = static_cast<discovery::collection>(i);
         update.age = feed.age(now);
-        update.revision = feed.position();
-        if (feed.is_loaded() && update.revision >= message.revisions[i])
-            update.difference = this->logs[i].changes_since(message.revisions[i]);
+        update.position = feed.position();
+        const discovery::source_position known{message.era, message.revisions[i]};
+        if (feed.is_loaded() && update.position >= known)
+            update.difference = this->logs[i].changes_since(known);
         if (update.difference && !this->consume_update_budget(*update.difference, now))
             update.difference.reset();
         result.push_back(std::move(update));
@@ -179,6 +183,7 @@
     bool follows_all = true;
     for (auto& each : updates) {
         auto& feed = *this->feeds.at(static_cast<std::size_t>(each.collection));
+        this->gate.learn_era(each.position.era);
         if (!each.difference) {
             follows_all = false;
             continue;
@@ -186,7 +191,8 @@
         discovery::feed_page page;
         page.objects = std::move(each.difference->changes);
         page.all_names = std::move(each.difference->all_names);
-        page.revision = each.revision;
+        page.revision = each.position.revision;
+        page.era = each.position.era;
         follows_all = feed.apply_from_peer(page, each.age) && follows_all;
     }
     if (follows_all == this->follows_upstream)
--- a/src/exchange/feed_log.cpp
+++ b/src/exchange/feed_log.cpp
@@ -18,6 +18,10 @@
 void feed_log::apply(const discovery::feed_page& page) {
     if (!this->is_loaded && !page.all_names)
         return;
+    if (page.era > this->era) {
+        *this = feed_log();
+        this->era = page.era;
+    }
     this->is_loaded = true;
     for (const auto& object : page.objects) {
         if (object.is_removed)
@@ -69,9 +73,12 @@
     }
 }
 
-std::optional<feed_difference> feed_log::changes_since(std::uint64_t revision) const {
+std::optional<feed_difference>
+feed_log::changes_since(const discovery::source_position& since) const {
     if (!this->is_loaded)
         return std::nullopt;
+    const bool is_other_era = since.era != 0 && since.era != this->era;
+    const auto revision = is_other_era ? 0 : since.revision;
     feed_difference result;
     const position start{revision + 1, std::string()};
     for (auto each = this->by_revision.lower_bound(start); each != this->by_revision.end();
--- a/src/exchange/feed_log.hpp
+++ b/src/exchange/feed_log.hpp
@@ -25,11 +25,12 @@
 class feed_log {
 public:
     // Applies a page of the feed. A page with the names of all objects may follow a gap in the
-    // known removals.
+    // known removals. The first page of a later era holds the whole collection.
     void apply(const discovery::feed_page& page);
 
-    // Returns nothing before the whole collection was read once.
-    std::optional<feed_difference> changes_since(std::uint64_t revision) const;
+    // Returns nothing before the whole collection was read once. A receiver from an earlier era
+    // gets everything.
+    std::optional<feed_difference> changes_since(const discovery::source_position& since) const;
 
     // Removed objects whose names are kept.
     static constexpr std::size_t max_removals = 4096;
@@ -53,6 +54,8 @@
     std::set<position> removals;
     // Invariant: `removals` holds every removal after this revision.
     std::uint64_t base_revision = 0;
+    // Invariant: all revisions are of this era.
+    std::uint64_t era = 0;
     bool is_loaded = false;
 };
 
--- a/src/exchange/message.hpp
+++ b/src/exchange/message.hpp
@@ -54,7 +54,9 @@
     bool for_group = false;
     // The sender gets its feed updates from the receiver.
     bool wants_updates = true;
-    // Revision up to which the sender has read each feed, indexed by collection.
+    // The latest era of the source that the sender knows; 0 if none.
+    std::uint64_t era = 0;
+    // Revision up to which the sender has read each feed in that era, indexed by collection.
     std::array<std::uint64_t, feed_count> revisions{};
     // Number of feeds that the sender knows; those after it are not sent to it.
     std::size_t known_feeds = feed_count;
@@ -71,7 +73,7 @@
     discovery::collection collection = discovery::collection::configuration;
     // Time since the sender's data was last confirmed by the source, directly or through peers.
     helpers::duration age{};
-    std::uint64_t revision = 0;
+    discovery::source_position position;
     // Empty if the sender cannot supply the changes since the stated revision.
     std::optional<feed_difference> difference;
 };
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -186,7 +186,7 @@
         this->is_registering = false;
         const auto* reason = std::get_if<kernel::error>(&result);
         if (const auto* page = std::get_if<discovery::feed_page>(&result))
-            this->registered_at = page->revision;
+            this->registered_at = {page->era, page->revision};
         if (reason == nullptr)
             return;
         this->services.events.write(kernel::severity::warning, "member.not_registered",
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -139,8 +139,8 @@
     std::unique_ptr<discovery::feed_call> registration;
     std::unique_ptr<discovery::feed_call> removal;
     bool is_registering = false;
-    // Revision at which this gateway's entry was written; empty before that.
-    std::optional<std::uint64_t> registered_at;
+    // Where this gateway's entry was written; empty before that.
+    std::optional<discovery::source_position> registered_at;
     // The member list has contained this gateway's entry.
     bool is_settled = false;
     std::vector<exchange::member> known_members;
--- a/src/wire/exchange_codec.cpp
+++ b/src/wire/exchange_codec.cpp
@@ -135,8 +135,9 @@
     if (has_all_names)
         names = builder.CreateVectorOfStrings(*update.difference->all_names);
     return fb::Createfeed_news(
-        builder, static_cast<std::uint8_t>(update.collection), to_ms(update.age), update.revision,
-        update.difference.has_value() && !has_all_names, builder.CreateVector(changes), names);
+        builder, static_cast<std::uint8_t>(update.collection), to_ms(update.age),
+        update.position.revision, update.difference.has_value() && !has_all_names,
+        builder.CreateVector(changes), names, static_cast<std::uint32_t>(update.position.era));
 }
 
 void write(flatbuffers::FlatBufferBuilder& builder, const exchange::report& content) {
@@ -150,9 +151,10 @@
     const auto limits_at = builder.CreateVectorOfStructs(to_wire(content.limits));
     const auto origins_at = builder.CreateVectorOfStructs(to_wire(content.origins));
     const auto wanted_at = builder.CreateVector(content.wanted_origins);
-    const auto report = fb::Createexchange_report(
-        builder, content.round, content.for_group, revisions_at, loads_at, !content.wants_updates,
-        evidence_at, later_at, limits_at, origins_at, wanted_at);
+    const auto report =
+        fb::Createexchange_report(builder, content.round, content.for_group, revisions_at, loads_at,
+                                  !content.wants_updates, evidence_at, later_at, limits_at,
+                                  origins_at, wanted_at, static_cast<std::uint32_t>(content.era));
     builder.Finish(fb::Createexchange_message(builder, report));
 }
 
@@ -190,7 +192,7 @@
     exchange::feed_update update;
     update.collection = static_cast<discovery::collection>(from.collection());
     update.age = std::chrono::milliseconds(from.age_ms());
-    update.revision = from.revision();
+    update.position = {from.era(), from.revision()};
     if (from.is_complete() || from.all_names() != nullptr)
         update.difference = read_difference(from);
     return update;
@@ -201,6 +203,7 @@
     result.round = from.round();
     result.for_group = from.for_group();
     result.wants_updates = !from.skips_updates();
+    result.era = from.era();
     if (from.revisions() == nullptr || from.revisions()->size() != first_release_feeds)
         return std::nullopt;
     std::copy(from.revisions()->begin(), from.revisions()->end(), result.revisions.begin());
