Soak and simulated fleets: the store comes back from an older copy

The stand-in of the store can return as it was some seconds ago, with a higher era; the soak writes again what its operator and targets have lost, and leaving targets say so in their responses.

--- a/scripts/gatewaylib/faults.py
+++ b/scripts/gatewaylib/faults.py
@@ -130,6 +130,28 @@
     context.store.drop_history()
 
 
+async def store_is_restored(context):
+    """The store is away for a moment and comes back from a copy; what its writers lost they write again."""
+    copy_age = context.rng.uniform(0.5, 5)
+    restored = {}
+
+    async def apply():
+        context.store.mode = context.rng.choice(("refuse", "silent", "reset"))
+
+    async def revert():
+        restored.update(context.store.return_from_copy(copy_age))
+        context.store.mode = "up"
+        returned_at = time.monotonic()
+        await asyncio.sleep(context.rng.uniform(0.1, 1.5))
+        for (kind, name), latest in restored.items():
+            is_own = kind in ("config", "servers", "evacuations")
+            current = context.store.objects.get((kind, name), (None, None))[1]
+            if is_own and current != latest and not context.store.was_changed_since(kind, name, returned_at):
+                await context.store.change(kind, name, latest)
+
+    await _disturb_temporarily(context, "store", apply, revert, 0.2, 1.0)
+
+
 async def store_link_fails(context):
     gateway = _pick_idle(context, context.fleet.gateways)
     mode = context.rng.choice(("refuse", "silent", "silent_to", "silent_from", "delay"))
@@ -220,6 +242,7 @@
     target = _pick_idle(context, context.targets)
     context.targets.remove(target)
     await context.add_target(target.service, target.data_centre)
+    target.is_leaving = True
     is_announced = context.rng.random() < 0.6
     acknowledged = await context.store.change(
         "servers", target.name, target.entry("draining") if is_announced else None)
@@ -315,7 +338,7 @@
 
 
 TABLE = (
-    store_fails, store_forgets, store_link_fails, target_link_fails, connections_reset,
+    store_fails, store_forgets, store_is_restored, store_link_fails, target_link_fails, connections_reset,
     target_misbehaves, service_is_full, target_crashes, target_leaves, data_centre_leaves, key_is_revoked,
     configurations_storm, gateway_is_killed, gateway_stands_still, gateway_restarts,
     settings_are_read,
--- a/scripts/gatewaylib/store.py
+++ b/scripts/gatewaylib/store.py
@@ -15,6 +15,10 @@
         self.objects = {}
         self.revision = 10
         self.history = []
+        # Rises each time that the store comes back from an older copy.
+        self.era = 1
+        # (time, kind, name, object before) of each change, so that it can be undone.
+        self.undo_log = []
         # A watch from an earlier revision gets 410.
         self.oldest_watchable = 0
         # up, refuse (503), silent (no response), reset, slow, lost (changes are made, responses are not sent)
@@ -30,8 +34,10 @@
 
     async def change(self, kind, name, spec):
         """Writes an object or, with `spec` None, removes it. Returns the time of the acknowledgement."""
-        self.revision += 1
         key = (kind, name)
+        self.undo_log.append((time.monotonic(), kind, name, self.objects.get(key)))
+        del self.undo_log[:-HISTORY_LENGTH]
+        self.revision += 1
         removed = spec is None
         if removed:
             self.objects.pop(key, None)
@@ -48,6 +54,27 @@
         self.oldest_watchable = self.revision
         self.history.clear()
 
+    def return_from_copy(self, seconds):
+        """Comes back as it was some seconds ago. Returns the lost objects by kind and name, None if removed."""
+        lost = {}
+        copied_at = time.monotonic() - seconds
+        while self.undo_log and self.undo_log[-1][0] > copied_at:
+            _, kind, name, before = self.undo_log.pop()
+            _, latest = self.objects.get((kind, name), (None, None))
+            lost.setdefault((kind, name), latest)
+            if before is None:
+                self.objects.pop((kind, name), None)
+            else:
+                self.objects[(kind, name)] = before
+            self.revision -= 1
+        self.history = [h for h in self.history if h[0] <= self.revision]
+        self.oldest_watchable = min(self.oldest_watchable, self.revision)
+        self.era += 1
+        return lost
+
+    def was_changed_since(self, kind, name, moment):
+        return any(t > moment and (k, n) == (kind, name) for t, k, n, _ in self.undo_log)
+
     async def serve(self, reader, writer):
         try:
             while head := await http.read_head(reader):
@@ -80,10 +107,9 @@
             return False
         return self.write_response(writer, status, content)
 
-    @staticmethod
-    def write_response(writer, status, content):
+    def write_response(self, writer, status, content):
         text = json.dumps(content).encode()
-        fields = {"content-type": "application/json", "content-length": len(text)}
+        fields = {"content-type": "application/json", "content-length": len(text), "store-era": self.era}
         writer.write(http.format_message(f"HTTP/1.1 {status} -", fields, text))
         return True
 
@@ -117,7 +143,7 @@
     async def watch(self, kind, since, wait):
         deadline = time.monotonic() + wait
         while True:
-            if since < self.oldest_watchable:
+            if since < self.oldest_watchable or since > self.revision:
                 return 410, {}
             events = [
                 {"removed": s is None, "object": {"metadata": {"name": n}, "spec": s}}
--- a/scripts/gatewaylib/targets.py
+++ b/scripts/gatewaylib/targets.py
@@ -38,6 +38,8 @@
         self.rng = random.Random(seed)
         # Name of the fault, and the share of requests that it affects.
         self.fault = ("none", 0.0)
+        # Stated in its responses.
+        self.is_leaving = False
         self.proxy = None
         self.server = None
         self.connections = set()
@@ -118,6 +120,8 @@
             "x-attempt-id": attempt, "x-response-seal": f"{self.name}.{attempt}",
             "x-server-load": f"{len(self.connections)},0,16", "content-type": "text/plain",
         }
+        if self.is_leaving:
+            fields["server-leaving"] = 1
         return http.format_message("HTTP/1.1 200 OK", {**fields, **more})
 
     def send_response(self, attempt, writer, fault):
--- a/tests/exchange/test_restored_store.cpp
+++ b/tests/exchange/test_restored_store.cpp
@@ -420,3 +420,34 @@
         gateways.require_sound();
     }
 }
+
+// Guards against a store that all gateways list at once when it comes back.
+TEST_CASE("restored store: the gateways of a large fleet are told by their hubs") {
+    for (const int count : {58, 295}) {
+        CAPTURE(count);
+        const auto calls_after = [count](bool is_older) {
+            fleet gateways(count, 4);
+            gateways.run_for(3s);
+            const auto copy = gateways.store.copy();
+            gateways.operators.configure();
+            gateways.run_for(1s);
+            gateways.store.go_away();
+            gateways.run_for(500ms);
+            const auto before = gateways.store.calls();
+            if (is_older)
+                gateways.store.return_from(copy);
+            else
+                gateways.store.come_back();
+            gateways.run_for(200ms);
+            gateways.operators.write_again();
+            gateways.run_for(4800ms);
+            gateways.require_sound();
+            return gateways.store.calls() - before;
+        };
+        const auto after_outage = calls_after(false);
+        const auto after_restore = calls_after(true);
+        MESSAGE(count, " gateways: ", after_restore, " calls in five seconds, ", after_outage,
+                " after an ordinary outage");
+        CHECK(after_restore <= after_outage + static_cast<std::size_t>(count));
+    }
+}
