--- a/scripts/gatewaylib/store.py
+++ b/scripts/gatewaylib/store.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's store, as its pages describe it, with faults that the soak sets."""
 
 import asyncio
+import functools
 import json
 import time
 import urllib.parse
@@ -26,11 +27,13 @@
         self.slow_seconds = 0.0
         self.changed = asyncio.Condition()
         self.calls = 0
-        self.server = None
+        self.servers = []
 
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        return self.server.sockets[0].getsockname()[1]
+    async def start(self, view=None):
+        """Listens on a port of its own, on which `view` changes each spec by kind and name."""
+        server = await asyncio.start_server(functools.partial(self.serve, view), "127.0.0.1", 0)
+        self.servers.append(server)
+        return server.sockets[0].getsockname()[1]
 
     async def change(self, kind, name, spec):
         """Writes an object or, with `spec` None, removes it. Returns the time of the acknowledgement."""
@@ -75,12 +78,12 @@
     def was_changed_since(self, kind, name, moment):
         return any(t > moment and (k, n) == (kind, name) for t, k, n, _ in self.undo_log)
 
-    async def serve(self, reader, writer):
+    async def serve(self, view, reader, writer):
         try:
             while head := await http.read_head(reader):
                 line, fields = head
                 body = await http.read_body(reader, fields)
-                if not await self.respond(line, body, writer):
+                if not await self.respond(line, body, writer, view):
                     return
         except (http.IncompleteMessage, ConnectionError, asyncio.CancelledError):
             # The peer closed the connection, or the soak has finished.
@@ -88,7 +91,7 @@
         finally:
             writer.close()
 
-    async def respond(self, line, body, writer):
+    async def respond(self, line, body, writer, view):
         method, target, _ = line.split(" ", 2)
         self.calls += 1
         if self.mode == "refuse":
@@ -102,11 +105,20 @@
         if self.mode == "slow":
             await asyncio.sleep(self.slow_seconds)
         status, content = await self.execute(method, target, body)
+        if view is not None:
+            self.apply_view(view, target, content)
         if self.mode == "lost" and method != "GET":
             http.reset_connection(writer)
             return False
         return self.write_response(writer, status, content)
 
+    @staticmethod
+    def apply_view(view, target, content):
+        kind = target.partition("?")[0].split("/")[2]
+        for item in content.get("items", []) + [e["object"] for e in content.get("events", [])]:
+            if item["spec"] is not None:
+                item["spec"] = view(kind, item["metadata"]["name"], item["spec"])
+
     def write_response(self, writer, status, content):
         text = json.dumps(content).encode()
         fields = {"content-type": "application/json", "content-length": len(text), "store-era": self.era}
