Placement chooses the target first, and then the path to it

A target whose path is broken here stays a candidate as long as other gateways' requests succeed there, by the results that the exchange carries; if it is chosen, another gateway serves the request. One whose own path to its choice is broken refuses, so that relays end at gateways that reach the targets.

Two tests without network, which a gateway without this fails.

--- a/src/admission/target_load.cpp
+++ b/src/admission/target_load.cpp
@@ -52,6 +52,12 @@
     this->exchanged_until = valid_until;
 }
 
+void target_load::set_fleet_results(const result_counts& fleet, helpers::time_point now,
+                                    helpers::time_point valid_until) {
+    const bool is_reached = fleet.responses > this->recent_results(now).responses;
+    this->reached_by_peers_until = is_reached ? valid_until : helpers::time_point();
+}
+
 double target_load::peer_requests(double typical, helpers::time_point now) const {
     if (now < this->exchanged_until)
         return this->exchanged_peers;
--- a/src/admission/target_load.hpp
+++ b/src/admission/target_load.hpp
@@ -32,6 +32,14 @@
     // Sets the number of requests that all peers together have on the target, from the exchange.
     void set_peer_requests(std::uint32_t count, helpers::time_point valid_until);
 
+    // Sets the recent results of the whole fleet, from the exchange.
+    void set_fleet_results(const result_counts& fleet, helpers::time_point now,
+                           helpers::time_point valid_until);
+    // Whether requests of other gateways have succeeded there within result_window.
+    bool is_reached_by_peers(helpers::time_point now) const {
+        return now < this->reached_by_peers_until;
+    }
+
     // Estimated requests on the target, own and peers'. `typical` is the number assumed for the
     // peers where neither the exchange nor a recent report gives one.
     double estimate(double typical, helpers::time_point now) const;
@@ -84,6 +92,7 @@
     bool has_report = false;
     std::uint32_t exchanged_peers = 0;
     helpers::time_point exchanged_until{};
+    helpers::time_point reached_by_peers_until{};
     std::uint32_t failures = 0;
     helpers::time_point ejected_until{};
     sliding_counts<result_counts, 6> results{result_window};
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -73,11 +73,18 @@
            request.tried_targets.end();
 }
 
+// Directly or, if the request may be passed on, through another gateway.
+bool dispatcher::is_reachable(const discovery::tracked_target& target,
+                              const dispatch_request& request, helpers::time_point now) {
+    return !this->target_paths.is_broken(target.serial) ||
+           (request.on_no_path && this->load_of(target).is_reached_by_peers(now));
+}
+
 bool dispatcher::is_usable(const discovery::tracked_target& target, const dispatch_request& request,
                            bool with_suspected, helpers::time_point now) {
     if (!this->catalog.is_eligible(target))
         return false;
-    if (was_tried(request, target) || this->target_paths.is_broken(target.serial))
+    if (was_tried(request, target) || !this->is_reachable(target, request, now))
         return false;
     if (request.software && target.software_hash != *request.software)
         return false;
@@ -151,6 +158,8 @@
     const auto chosen = this->choose(request);
     if (!chosen)
         return assign_outcome::must_wait;
+    if (this->target_paths.is_broken(targets[chosen->target]->serial))
+        return assign_outcome::no_path;
     assignment assigned;
     assigned.target = targets[chosen->target];
     assigned.prompt_tokens = request.prompt->tokens();
@@ -307,9 +316,13 @@
     }
     for (const auto& target : this->catalog.all_targets()) {
         const auto found = counts.find(target->incarnation_hash);
-        this->load_of(*target).set_peer_requests(found == counts.end() ? max_unlisted_in_flight / 2
-                                                                       : found->second.in_flight,
-                                                 valid_until);
+        auto& load = this->load_of(*target);
+        load.set_peer_requests(found == counts.end() ? max_unlisted_in_flight / 2
+                                                     : found->second.in_flight,
+                               valid_until);
+        load.set_fleet_results(found == counts.end() ? admission::result_counts()
+                                                     : found->second.results,
+                               now, valid_until);
     }
     if (any_failed)
         for (const auto& [service, state] : this->services)
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -63,8 +63,8 @@
     // One of these is called once, unless the request is cancelled.
     std::function<void(assignment)> on_assigned;
     std::function<void(kernel::error)> on_rejected;
-    // If set, called instead if the service has targets but this gateway has no path to one that
-    // the request may go to. If not set, the request waits for a path.
+    // If set, called instead if the request's target can be reached through another gateway only.
+    // If not set, only targets to which this gateway has a path are assigned.
     std::function<void()> on_no_path;
 };
 
@@ -182,6 +182,8 @@
     std::optional<helpers::endpoint> address_of(helpers::service_id service,
                                                 std::uint64_t serial) const;
     placement::choice_context choice_context() const;
+    bool is_reachable(const discovery::tracked_target& target, const dispatch_request& request,
+                      helpers::time_point now);
     bool is_usable(const discovery::tracked_target& target, const dispatch_request& request,
                    bool with_suspected, helpers::time_point now);
     placement::choice_target candidate_for(const discovery::tracked_target& target,
--- a/src/gateway/proxied_request_relay.cpp
+++ b/src/gateway/proxied_request_relay.cpp
@@ -30,21 +30,20 @@
 } // namespace
 
 bool proxied_request::may_relay() const {
-    return this->tried_peers.size() < max_tried_peers &&
+    // A trial has to end at this gateway.
+    return this->quarantine_verdict != crash_guard::verdict::trial &&
+           this->tried_peers.size() < max_tried_peers &&
            this->services.peers.has_candidate(this->service, this->tried_peers,
                                               this->services.loop.time().now());
 }
 
 void proxied_request::start_relay() {
-    const auto now = this->services.loop.time().now();
-    // A trial has to end at this gateway, which has no path for it.
-    const bool is_trial = this->quarantine_verdict == crash_guard::verdict::trial;
-    const auto peer = is_trial ? std::nullopt
-                               : this->services.peers.choose(this->service, this->tried_peers, now);
+    const auto peer = this->services.peers.choose(this->service, this->tried_peers,
+                                                  this->services.loop.time().now());
+    // Another request has found out meanwhile that none is left: this one gets a target to which
+    // there is a path, or waits.
     if (!peer) {
-        this->finish_without_response(
-            this->may_have_run ? attempt_outcome::maybe_run : attempt_outcome::not_run,
-            {error_kind::no_target, "no path to a target of the service"});
+        this->request_target();
         return;
     }
     this->current_peer = *peer;
@@ -57,7 +56,7 @@
         kernel::severity::info, "request.relayed", std::nullopt,
         {{"request_id", this->metadata.id},
          {"peer", peer->name},
-         {"reason", std::string("no path to a target of the service")},
+         {"reason", std::string("no path to the target")},
          {"broken_paths", std::uint64_t{this->services.dispatch.paths().broken_count()}},
          {"refused_by", std::uint64_t{this->tried_peers.size()}},
          {"left_ms", helpers::whole_milliseconds(this->time_left())}});
@@ -171,7 +170,7 @@
     ++this->services.counters.rejected;
     this->caller->respond(status_unavailable, {{std::string(relay_fields::refused), "no path"}},
                           "");
-    this->finish("not run", "no path to a target of the service");
+    this->finish("not run", "no path to the target");
 }
 
 } // namespace samphirespool::gateway
--- a/tests/gateway/test_relay.cpp
+++ b/tests/gateway/test_relay.cpp
@@ -412,3 +412,61 @@
     for (const auto& [name, count] : chosen)
         CHECK(count <= 110);
 }
+
+// Guards against one reachable target getting what all should: the others have no path from here.
+TEST_CASE("relay: a request goes to its target through another gateway if that reaches it") {
+    relay_fixture gateway;
+    const auto targets = gateway.catalog.all_targets();
+    exchange::target_counts fleet_counts;
+    for (const auto& each : targets)
+        fleet_counts.push_back({each->incarnation_hash, 0, {5, 0}, {}});
+    gateway.dispatch.paths().on_probed(targets[0]->serial, false);
+    gateway.dispatch.paths().on_probed(targets[1]->serial, false);
+    int relayed = 0;
+    for (int i = 0; i < 60; ++i) {
+        gateway.dispatch.set_peer_counts(fleet_counts, 0, 100ms);
+        gateway.send("/look/1");
+        relayed += relay_fixture::is_relay(gateway.last_call()) ? 1 : 0;
+        gateway.last_call().respond(200, "answer");
+        gateway.process_events();
+    }
+    CHECK(relayed >= 30);
+    CHECK(relayed < 60);
+    // Nobody reaches them: the target with a path gets all.
+    for (auto& each : fleet_counts)
+        each.results = {0, 5};
+    gateway.advance(4s);
+    gateway.dispatch.set_peer_counts(fleet_counts, 0, 100ms);
+    for (int i = 0; i < 20; ++i) {
+        gateway.send("/look/1");
+        CHECK_FALSE(relay_fixture::is_relay(gateway.last_call()));
+        gateway.last_call().respond(200, "answer");
+        gateway.process_events();
+    }
+}
+
+TEST_CASE("relay: a gateway whose own path to the chosen target is broken refuses") {
+    relay_fixture gateway;
+    const auto targets = gateway.catalog.all_targets();
+    exchange::target_counts fleet_counts;
+    for (const auto& each : targets)
+        fleet_counts.push_back({each->incarnation_hash, 0, {5, 0}, {}});
+    for (std::size_t i = 1; i < targets.size(); ++i)
+        gateway.dispatch.paths().on_probed(targets[i]->serial, false);
+    int refused = 0;
+    for (int i = 0; i < 30; ++i) {
+        gateway.dispatch.set_peer_counts(fleet_counts, 0, 100ms);
+        const auto calls = gateway.call_count();
+        gateway.receive("/look/1");
+        if (gateway.call_count() == calls) {
+            ++refused;
+            CHECK(http::find_header(gateway.callers.back().response.headers, refused_field));
+            continue;
+        }
+        CHECK_FALSE(relay_fixture::is_relay(gateway.last_call()));
+        gateway.last_call().respond(200, "answer");
+        gateway.process_events();
+    }
+    CHECK(refused >= 10);
+    CHECK(refused < 30);
+}
