--- a/scripts/gatewaylib/faults.py
+++ b/scripts/gatewaylib/faults.py
@@ -9,6 +9,7 @@
 import time
 
 from gatewaylib.callers import ROUTES
+from gatewaylib.paths import MODES, Paths
 from gatewaylib.targets import Target
 
 DATA_CENTRES = ("dc-a", "dc-b")
@@ -48,6 +49,8 @@
 
     def __init__(self, fleet, store, trace, keys, rng):
         self.fleet = fleet
+        # The gateways' own ways to the targets.
+        self.paths = Paths()
         self.store = store
         self.trace = trace
         self.keys = keys
@@ -63,6 +66,8 @@
         name = f"t-{next(self.numbers)}"
         target = Target(name, service, data_centre, self.trace, self.rng.randrange(1 << 30))
         await target.start()
+        for gateway in self.fleet.gateways:
+            await self.paths.add(gateway.name, target)
         self.targets.append(target)
         self.target_data_centres[name] = data_centre
         await self.store.change("servers", name, target.entry())
@@ -182,6 +187,22 @@
     await _disturb_temporarily(context, target.name, apply, revert)
 
 
+async def gateways_lose_paths(context):
+    """Some gateways lose their paths to some or all targets; the others reach them."""
+    count = context.rng.randrange(1, len(context.fleet.gateways))
+    chosen = context.rng.sample(context.fleet.gateways, count)
+    mode, share = context.rng.choice(MODES), context.rng.choice((0.5, 1.0))
+    start = time.monotonic()
+    for gateway in chosen:
+        context.trace.disturbances.setdefault(gateway.name, []).append((start, float("inf")))
+        await context.paths.cut(gateway.name, mode, share, context.rng)
+    await asyncio.sleep(context.rng.uniform(1, 5))
+    for gateway in chosen:
+        await context.paths.heal(gateway.name)
+        context.trace.disturbances[gateway.name].remove((start, float("inf")))
+        context.trace.disturb(gateway.name, start, time.monotonic())
+
+
 async def connections_reset(context):
     target = _pick_idle(context, context.targets)
 
@@ -338,7 +359,8 @@
 
 
 TABLE = (
-    store_fails, store_forgets, store_is_restored, store_link_fails, target_link_fails, connections_reset,
+    store_fails, store_forgets, store_is_restored, store_link_fails, target_link_fails, gateways_lose_paths,
+    connections_reset,
     target_misbehaves, service_is_full, target_crashes, target_leaves, data_centre_leaves, key_is_revoked,
     configurations_storm, gateway_is_killed, gateway_stands_still, gateway_restarts,
     settings_are_read,
--- a/scripts/gatewaylib/paths.py
+++ b/scripts/gatewaylib/paths.py
@@ -99,12 +99,12 @@
 
         return change
 
-    async def cut(self, gateway, mode):
-        for (name, _), path in self.by_ends.items():
-            if name == gateway:
+    async def cut(self, gateway, mode, share=1.0, rng=None):
+        for (name, _), path in list(self.by_ends.items()):
+            if name == gateway and not path.is_cut and (rng is None or rng.random() < share):
                 await path.cut(mode)
 
     async def heal(self, gateway):
-        for (name, _), path in self.by_ends.items():
+        for (name, _), path in list(self.by_ends.items()):
             if name == gateway and path.is_cut:
                 await path.heal()
--- a/tests/process/test_gateway_paths.py
+++ b/tests/process/test_gateway_paths.py
@@ -19,7 +19,7 @@
 from gatewaylib import faults  # noqa: E402
 from gatewaylib.callers import Callers  # noqa: E402
 from gatewaylib.fleet import Fleet, Gateway  # noqa: E402
-from gatewaylib.paths import MODES, Paths  # noqa: E402
+from gatewaylib.paths import MODES  # noqa: E402
 from gatewaylib.store import Store  # noqa: E402
 from gatewaylib.trace import Trace  # noqa: E402
 
@@ -48,26 +48,23 @@
 
 async def prepare(build, folder):
     rng = random.Random(5)
-    trace, store, fleet, paths = Trace(), Store(), Fleet(), Paths()
+    trace, store, fleet = Trace(), Store(), Fleet()
     context = faults.FaultContext(fleet, store, trace, faults.Keys(rng), rng)
+    program = os.path.join(build, "samphirespool-gateway")
+    for i in range(GATEWAYS):
+        name, centre = f"g{i}", faults.DATA_CENTRES[i % len(faults.DATA_CENTRES)]
+        store_port = await store.start(context.paths.view(name))
+        fleet.gateways.append(Gateway(program, folder, name, centre, store_port))
     await context.configure()
     for service in faults.SERVICES:
         for i in range(TARGETS):
             await context.add_target(service, faults.DATA_CENTRES[i % len(faults.DATA_CENTRES)])
-    program = os.path.join(build, "samphirespool-gateway")
-    for i in range(GATEWAYS):
-        name = f"g{i}"
-        for target in context.targets:
-            await paths.add(name, target)
-        store_port = await store.start(paths.view(name))
-        centre = faults.DATA_CENTRES[i % len(faults.DATA_CENTRES)]
-        fleet.gateways.append(Gateway(program, folder, name, centre, store_port))
-    return context, paths
+    return context
 
 
 async def run(build, folder, mode):
-    context, paths = await prepare(build, folder)
-    fleet = context.fleet
+    context = await prepare(build, folder)
+    fleet, paths = context.fleet, context.paths
     try:
         await asyncio.gather(*(g.start() for g in fleet.gateways))
         fleet.start_probes()
