Relays: a target that leaves is known to the gateway that passes its response on

A response that says that its target leaves passed through the gateway that has the caller, which went on sending to that target over its own paths: DRAIN holds for each gateway that has passed such a response on. The gateway that serves a relayed request names the target. The new test fails without the change.

--- a/src/discovery/target_catalog.cpp
+++ b/src/discovery/target_catalog.cpp
@@ -226,6 +226,11 @@
     return found == this->by_name.end() ? nullptr : found->second;
 }
 
+std::shared_ptr<tracked_target> target_catalog::find(std::string_view name) const {
+    const auto found = this->by_name.find(std::string(name));
+    return found == this->by_name.end() ? nullptr : found->second;
+}
+
 void target_catalog::mark_leaving(std::uint64_t serial) {
     const auto entry = this->find(serial);
     if (entry == nullptr || std::exchange(entry->is_leaving, true))
--- a/src/discovery/target_catalog.hpp
+++ b/src/discovery/target_catalog.hpp
@@ -98,6 +98,7 @@
     std::vector<std::shared_ptr<tracked_target>> all_targets() const;
     // Null if the target was removed.
     std::shared_ptr<tracked_target> find(std::uint64_t serial) const;
+    std::shared_ptr<tracked_target> find(std::string_view name) const;
     // The software version of all targets that this catalog has seen in the service within the
     // given time, if there was only one.
     std::optional<std::uint32_t> only_software(helpers::service_id service, helpers::duration time,
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -128,6 +128,8 @@
     void on_relay_failed(const kernel::error& reason, bool maybe_sent);
     void end_relay();
     void log_relay_failure(std::string_view reason, bool may_have_run) const;
+    // What the gateway that passed the request on has to know of the response.
+    void add_relay_fields();
     // Tells the gateway that passed the request on to ask another one.
     void refuse_relayed();
 
@@ -147,6 +149,7 @@
     bool matches_request_id(const http::header_list& headers) const;
     void read_occupancy_report(const http::header_list& headers);
     void read_target_limit(const http::header_list& headers);
+    void read_leaving(const http::header_list& headers, std::uint64_t target);
     void begin_response();
     void forward_events(std::string_view events);
     void complete();
--- a/src/gateway/proxied_request_finish.cpp
+++ b/src/gateway/proxied_request_finish.cpp
@@ -34,6 +34,7 @@
         return;
     }
     if (outcome == attempt_outcome::error_response) {
+        this->add_relay_fields();
         this->caller->respond(this->status, std::move(this->response_headers), this->buffered_body);
         ++this->services.counters.failed;
         this->finish("error_answer", reason.detail);
--- a/src/gateway/proxied_request_relay.cpp
+++ b/src/gateway/proxied_request_relay.cpp
@@ -105,6 +105,10 @@
             {error_kind::answer_truncated, "the gateway did not resume the stream"}, true);
         return;
     }
+    // The response is passed on from here, so that what its target says of itself holds here too.
+    this->last_target_name = http::find_header(headers, relay_fields::target).value_or("");
+    if (const auto target = this->services.catalog.find(this->last_target_name))
+        this->read_leaving(headers, target->serial);
     const auto type = http::find_header(headers, "content-type").value_or("");
     this->is_event_stream = is_success(response_status) &&
                             (this->route->is_streaming || type.starts_with("text/event-stream"));
@@ -161,6 +165,15 @@
                                  {"left_ms", helpers::whole_milliseconds(this->time_left())}});
 }
 
+void proxied_request::add_relay_fields() {
+    if (!this->ticket)
+        return;
+    this->response_headers.push_back({std::string(relay_fields::target), this->last_target_name});
+    if (this->stream_software)
+        this->response_headers.push_back(
+            {std::string(relay_fields::software), std::to_string(*this->stream_software)});
+}
+
 void proxied_request::refuse_relayed() {
     if (this->response_started || this->may_have_run) {
         this->finish_without_response(attempt_outcome::maybe_run,
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -66,6 +66,13 @@
                                  {"value", std::string(text->substr(0, max_logged_value))}});
 }
 
+void proxied_request::read_leaving(const http::header_list& headers, std::uint64_t target) {
+    this->target_is_leaving =
+        http::find_header(headers, this->services.names.target_leaving) == "1";
+    if (this->target_is_leaving)
+        this->services.catalog.mark_leaving(target);
+}
+
 void proxied_request::on_head(int response_status, const http::header_list& headers) {
     if (this->current_peer) {
         this->on_relay_head(response_status, headers);
@@ -82,9 +89,7 @@
             {error_kind::target_unreachable, "a target of another name responded at the address"});
         return;
     }
-    this->target_is_leaving = http::find_header(headers, names.target_leaving) == "1";
-    if (this->target_is_leaving)
-        this->services.catalog.mark_leaving(this->current_assignment->target->serial);
+    this->read_leaving(headers, this->current_assignment->target->serial);
     this->read_target_limit(headers);
     if (http::find_header(headers, names.not_run)) {
         this->finish_attempt(attempt_outcome::not_run,
@@ -150,9 +155,7 @@
     this->first_byte_ms = this->elapsed_milliseconds();
     if (this->services.latencies.first_byte)
         this->services.latencies.first_byte(static_cast<double>(this->first_byte_ms) / 1000);
-    if (this->ticket && this->stream_software)
-        this->response_headers.push_back(
-            {std::string(relay_fields::software), std::to_string(*this->stream_software)});
+    this->add_relay_fields();
     this->caller->begin(this->status, std::move(this->response_headers));
 }
 
@@ -199,6 +202,7 @@
         this->caller->finish();
     } else {
         this->first_byte_ms = this->elapsed_milliseconds();
+        this->add_relay_fields();
         this->caller->respond(this->status, std::move(this->response_headers), this->buffered_body);
     }
     ++this->services.counters.responded;
--- a/src/gateway/relay_ticket.hpp
+++ b/src/gateway/relay_ticket.hpp
@@ -21,6 +21,8 @@
 constexpr std::string_view ticket = "samphirespool-relay-ticket";
 // In responses: the gateway did not run the request, and another one may serve it.
 constexpr std::string_view refused = "samphirespool-relay-refused";
+// In responses of a target: its name.
+constexpr std::string_view target = "samphirespool-relay-target";
 // In responses that are streams: hash of the software version of the target.
 constexpr std::string_view software = "samphirespool-relay-software";
 
--- a/tests/gateway/test_relay.cpp
+++ b/tests/gateway/test_relay.cpp
@@ -470,3 +470,24 @@
     CHECK(refused >= 10);
     CHECK(refused < 30);
 }
+
+// Guards against DRAIN: the gateway that passes the announcement on does not take it in.
+TEST_CASE("relay: a target that leaves is known to the gateway that passes its response on") {
+    relay_fixture gateway;
+    gateway.receive("/look/1");
+    const auto name = gateway.last_call().header("x-expected-target");
+    gateway.last_call().respond(200, "answer");
+    gateway.process_events();
+    const auto& headers = gateway.callers.back().response.headers;
+    CHECK(http::find_header(headers, gateway::relay_fields::target) == name);
+
+    gateway.set_paths(false);
+    gateway.send("/look/2");
+    gateway.last_call().connect();
+    gateway.last_call().head(
+        200, {{std::string(gateway::relay_fields::target), name}, {"x-target-leaving", "1"}});
+    gateway.last_call().listener->on_done();
+    gateway.process_events();
+    CHECK_FALSE(gateway.catalog.is_eligible(*gateway.catalog.find(name)));
+    CHECK(gateway.catalog.leaving_count() == 1);
+}
