Targets that reject with Retry-After get nothing for that time

A target that turned a request away and named a time got the gateway's next requests all the same: 36 in 3.4 s in the test. The field was read for callers only.

admission/quiet_times holds what each target has asked of this gateway: placement leaves it out, a connection that is about to be used is given up, and after the time the target gets one request and more over a second. Times that cannot be read are logged and ignored, long ones cut to a minute. If all targets of a service ask for longer than a request may wait, its caller is told at once when the first returns. target.quiet, quiet_targets.

The five tests of 'quiet targets' failed before and pass.

--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -91,7 +91,9 @@
     auto& load = this->load_of(target);
     if (load.is_ejected(now) || (load.is_suspected(now) && !with_suspected))
         return false;
-    if (!this->limits.may_send(target.incarnation_hash, now))
+    if (!this->limits.may_send(target.incarnation_hash, now) ||
+        !this->quiet.may_send(target.serial, std::max(default_slots, target.registration.slots),
+                              now))
         return false;
     if (now >= target.cold_until)
         return true;
@@ -168,6 +170,7 @@
     const auto now = this->loop.time().now();
     this->load_of(*assigned.target).on_sent(assigned.prompt_tokens, now);
     this->limits.on_sent(assigned.target->incarnation_hash, now);
+    this->quiet.on_sent(assigned.target->serial, now);
     ++this->state_of(request.service).recent_assignments.current(now);
     request.on_assigned(std::move(assigned));
     return assign_outcome::assigned;
@@ -189,6 +192,9 @@
     }
     if (!any_eligible)
         return assign_outcome::no_target;
+    const auto quiet_for = this->quiet_time_left(request.service);
+    if (quiet_for && this->loop.time().now() + *quiet_for > request.queue_deadline)
+        return assign_outcome::all_quiet;
     return any_broken && !any_path ? assign_outcome::no_path : assign_outcome::assigned;
 }
 
@@ -215,6 +221,28 @@
     mean_peer_load += report_weight * (load.peer_requests(mean_peer_load, now) - mean_peer_load);
 }
 
+void dispatcher::on_quiet(const assignment& attempt, helpers::duration time) {
+    const auto& target = *attempt.target;
+    this->quiet.on_rejection(target.serial, time, this->loop.time().now());
+    this->events.write(
+        kernel::severity::warning, "target.quiet", std::nullopt,
+        {{"target", target.registration.name}, {"for_ms", helpers::whole_milliseconds(time)}});
+}
+
+std::optional<helpers::duration> dispatcher::quiet_time_left(helpers::service_id service) const {
+    const auto now = this->loop.time().now();
+    std::optional<helpers::duration> shortest;
+    for (const auto& each : this->catalog.targets_of(service)) {
+        if (!this->catalog.is_eligible(*each))
+            continue;
+        const auto left = this->quiet.time_left(each->serial, now);
+        if (left == helpers::duration::zero())
+            return std::nullopt;
+        shortest = std::min(shortest.value_or(left), left);
+    }
+    return shortest;
+}
+
 void dispatcher::on_limit(const assignment& attempt, std::optional<double> per_second) {
     const auto& target = *attempt.target;
     if (this->limits.on_response(target.incarnation_hash, per_second, this->loop.time().now()))
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -4,6 +4,7 @@
 
 #include "admission/fair_start_tags.hpp"
 #include "admission/fleet_share.hpp"
+#include "admission/quiet_times.hpp"
 #include "admission/sliding_counts.hpp"
 #include "admission/target_limits.hpp"
 #include "admission/target_load.hpp"
@@ -104,6 +105,15 @@
     void on_occupancy_report(const assignment& attempt, const admission::occupancy_report& report);
     // The target has responded; `per_second` is empty if the response names no limit.
     void on_limit(const assignment& attempt, std::optional<double> per_second);
+    // The target has rejected the request and asks to be sent nothing for a time.
+    void on_quiet(const assignment& attempt, helpers::duration time);
+    bool is_quiet(const discovery::tracked_target& target) const {
+        return this->quiet.is_quiet(target.serial, this->loop.time().now());
+    }
+    // If all targets of the service that take work have asked for quiet: the time until the first
+    // of them serves again.
+    std::optional<helpers::duration> quiet_time_left(helpers::service_id service) const;
+    std::size_t quiet_targets() const { return this->quiet.quiet_count(this->loop.time().now()); }
     // The response has started, or the attempt has finished. Only the first call has an effect.
     void on_prompt_processed(assignment& attempt);
     // Which targets this gateway reaches.
@@ -158,6 +168,8 @@
         must_wait,
         no_target,
         no_path,
+        // All targets have asked for quiet until after the request's queue deadline.
+        all_quiet,
     };
 
     struct queue_key {
@@ -211,6 +223,7 @@
     admission::cold_target_share cold;
     admission::target_limits limits;
     admission::target_paths target_paths;
+    admission::quiet_times quiet;
     std::shared_ptr<const routing::route_table> table;
     std::unordered_map<helpers::service_id, service_state> services;
     std::unordered_map<std::uint64_t, admission::target_load> loads;
--- a/src/gateway/dispatcher_queue.cpp
+++ b/src/gateway/dispatcher_queue.cpp
@@ -26,6 +26,10 @@
     return request.tokens() + request.output_tokens * output_token_cost;
 }
 
+kernel::error all_quiet_reason() {
+    return {kernel::error_kind::queue_full, "all targets of the service have asked for quiet"};
+}
+
 } // namespace
 
 dispatcher::dispatch_id dispatcher::submit(dispatch_request request) {
@@ -36,6 +40,9 @@
     case assign_outcome::no_target:
         request.on_rejected({kernel::error_kind::no_target, "no target of the service takes work"});
         return 0;
+    case assign_outcome::all_quiet:
+        request.on_rejected(all_quiet_reason());
+        return 0;
     case assign_outcome::no_path:
         if (request.on_no_path) {
             request.on_no_path();
@@ -117,6 +124,8 @@
                 this->fair_order.on_dispatched(key.priority, key.virtual_start);
             } else if (outcome == assign_outcome::no_path && request.on_no_path) {
                 request.on_no_path();
+            } else if (outcome == assign_outcome::all_quiet) {
+                request.on_rejected(all_quiet_reason());
             } else {
                 ++misses[request.service];
                 this->queue.insert(std::move(node));
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -211,6 +211,9 @@
     this->metric_registry.watch_gauge(
         {"leaving_targets", "Targets that have said in a response that they are about to stop."},
         [this] { return static_cast<double>(this->catalog.leaving_count()); });
+    this->metric_registry.watch_gauge(
+        {"quiet_targets", "Targets that have asked this gateway to send them nothing for a time."},
+        [this] { return static_cast<double>(this->dispatch.quiet_targets()); });
     this->metric_registry.watch_gauge(
         {"store_era", "Latest era that the store or a peer has stated; it rises each time that the "
                       "store comes back from an older copy."},
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -324,6 +324,14 @@
         });
         return false;
     }
+    if (this->services.dispatch.is_quiet(*this->current_assignment->target)) {
+        this->defer([this] {
+            this->finish_attempt(
+                attempt_outcome::not_run,
+                {error_kind::queue_full, "the target has asked for quiet meanwhile"});
+        });
+        return false;
+    }
     // A suspect may have been quarantined while the request was queued.
     if (this->quarantine_verdict != crash_guard::verdict::trial &&
         this->services.crashes.is_quarantined(this->suspects)) {
--- a/src/gateway/proxied_request_finish.cpp
+++ b/src/gateway/proxied_request_finish.cpp
@@ -61,6 +61,11 @@
 }
 
 helpers::duration proxied_request::retry_after(error_kind reason) const {
+    // Spread over half of the time more, so that the first target that serves again does not get
+    // all that were told so.
+    if (const auto quiet = this->services.dispatch.quiet_time_left(this->service))
+        return *quiet + std::chrono::duration_cast<helpers::duration>(
+                            *quiet * (this->services.random.fraction() / 2));
     // An overload, or a quarantine, does not end soon.
     const bool is_overload = reason == error_kind::queue_full ||
                              reason == error_kind::prompt_quarantined ||
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t high_water_bytes = std::size_t{256} << 10;
 // Longer values of a target's header fields are cut off in the log.
 constexpr std::size_t max_logged_value = 32;
+constexpr int status_unavailable = 503;
 constexpr int status_misdirected = 421;
 constexpr int status_ok = 200;
 constexpr int first_redirect = 300;
@@ -66,6 +67,20 @@
                                  {"value", std::string(text->substr(0, max_logged_value))}});
 }
 
+void proxied_request::read_quiet_time(const http::header_list& headers) {
+    const auto text = http::find_header(headers, "retry-after");
+    if (!text)
+        return;
+    if (const auto time = admission::parse_quiet_time(*text)) {
+        this->services.dispatch.on_quiet(*this->current_assignment, *time);
+        return;
+    }
+    this->services.events.write(kernel::severity::warning, "target.quiet_rejected", std::nullopt,
+                                {{"request_id", this->metadata.id},
+                                 {"target", this->last_target_name},
+                                 {"value", std::string(text->substr(0, max_logged_value))}});
+}
+
 void proxied_request::read_leaving(const http::header_list& headers, std::uint64_t target) {
     this->target_is_leaving =
         http::find_header(headers, this->services.names.target_leaving) == "1";
@@ -92,6 +107,8 @@
     this->read_leaving(headers, this->current_assignment->target->serial);
     this->read_target_limit(headers);
     if (http::find_header(headers, names.not_run)) {
+        if (response_status == status_unavailable)
+            this->read_quiet_time(headers);
         this->finish_attempt(attempt_outcome::not_run,
                              {error_kind::queue_full, "the target did not run the request"});
         return;
--- a/tests/gateway/test_quiet_targets.cpp
+++ b/tests/gateway/test_quiet_targets.cpp
@@ -37,7 +37,7 @@
 } // namespace
 
 // Guards against BUDGET: a target that has asked for quiet gets requests.
-TEST_CASE("quiet targets: one gets nothing for the time that it names" * doctest::should_fail()) {
+TEST_CASE("quiet targets: one gets nothing for the time that it names") {
     gateway_harness gateway;
     gateway.send("/look/1");
     const auto name = reject(gateway, "3.5");
@@ -47,8 +47,7 @@
 }
 
 // Guards against BUDGET: a request that waits for its connection is sent all the same.
-TEST_CASE("quiet targets: a request that is about to be sent goes to another target" *
-          doctest::should_fail()) {
+TEST_CASE("quiet targets: a request that is about to be sent goes to another target") {
     gateway_harness gateway(1);
     gateway.send("/look/1");
     auto& first = gateway.last_call();
@@ -61,8 +60,7 @@
 }
 
 // Guards against callers who wait for nothing: all targets have asked for quiet.
-TEST_CASE("quiet targets: if all are, callers are told at once when the first serves again" *
-          doctest::should_fail()) {
+TEST_CASE("quiet targets: if all are, callers are told at once when the first serves again") {
     gateway_harness gateway(1);
     gateway.send("/look/1");
     reject(gateway, "4");
@@ -76,7 +74,7 @@
     CHECK(seconds <= 6);
 }
 
-TEST_CASE("quiet targets: unreadable and excessive times are bounded" * doctest::should_fail()) {
+TEST_CASE("quiet targets: unreadable and excessive times are bounded") {
     for (const std::string text : {"-1", "soon", "", "nan", "Fri, 04 Dec 2026 10:00:00 GMT"}) {
         CAPTURE(text);
         gateway_harness gateway;
@@ -94,7 +92,7 @@
 }
 
 // Guards against all that waited being sent in the moment at which the time ends.
-TEST_CASE("quiet targets: one returns in steps" * doctest::should_fail()) {
+TEST_CASE("quiet targets: one returns in steps") {
     gateway_harness gateway(2);
     gateway.send("/look/1");
     const auto name = reject(gateway, "1");
