Brittle services: their targets' slots are divided among the gateways

While a service says that it is brittle, each gateway has its part of each target's slots, by the member list; one that is rejected leaves the target alone for so long that the fleet's rejections stay below the number; one without a free slot of its own has another gateway serve the request. Waiting at the target, which costs the rejections, is not counted on.

--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -36,9 +36,11 @@
       settings(settings),
       budget(settings.retry_limits),
       cold(settings.own_name, settings.cold),
-      limits(settings.own_name) {
+      limits(settings.own_name),
+      brittle(settings.own_name) {
     this->cold.set_members({settings.own_name});
     this->limits.set_members({settings.own_name});
+    this->brittle.set_members({settings.own_name});
 }
 
 dispatcher::~dispatcher() {
@@ -49,6 +51,7 @@
     this->members = std::max<std::size_t>(1, names.size());
     this->budget.set_fleet_size(this->members);
     this->limits.set_members(names);
+    this->brittle.set_members(names);
     this->cold.set_members(std::move(names));
 }
 
@@ -73,6 +76,13 @@
            request.tried_targets.end();
 }
 
+bool dispatcher::has_room(const discovery::tracked_target& target, helpers::time_point now) {
+    return this->brittle.may_send(target.registration.service, target.serial,
+                                  target.registration.name,
+                                  std::max(default_slots, target.registration.slots),
+                                  this->load_of(target).own_requests(), now);
+}
+
 // Directly or, if the request may be passed on, through another gateway.
 bool dispatcher::is_reachable(const discovery::tracked_target& target,
                               const dispatch_request& request, helpers::time_point now) {
@@ -93,7 +103,8 @@
         return false;
     if (!this->limits.may_send(target.incarnation_hash, now) ||
         !this->quiet.may_send(target.serial, std::max(default_slots, target.registration.slots),
-                              now))
+                              now) ||
+        !this->has_room(target, now))
         return false;
     if (now >= target.cold_until)
         return true;
@@ -158,6 +169,9 @@
     if (possible != assign_outcome::assigned)
         return possible;
     const auto chosen = this->choose(request);
+    // Another gateway may have slots of a brittle service to spare.
+    if (!chosen && this->brittle.is_brittle(request.service))
+        return assign_outcome::no_path;
     if (!chosen)
         return assign_outcome::must_wait;
     if (this->target_paths.is_broken(targets[chosen->target]->serial))
@@ -171,6 +185,7 @@
     this->load_of(*assigned.target).on_sent(assigned.prompt_tokens, now);
     this->limits.on_sent(assigned.target->incarnation_hash, now);
     this->quiet.on_sent(assigned.target->serial, now);
+    this->brittle.on_sent(request.service, now);
     ++this->state_of(request.service).recent_assignments.current(now);
     request.on_assigned(std::move(assigned));
     return assign_outcome::assigned;
@@ -221,6 +236,20 @@
     mean_peer_load += report_weight * (load.peer_requests(mean_peer_load, now) - mean_peer_load);
 }
 
+void dispatcher::on_brittleness(const assignment& attempt, std::optional<std::uint32_t> limit) {
+    const auto& target = attempt.target->registration;
+    if (this->brittle.on_response(target.service, limit, this->loop.time().now()))
+        this->events.write(kernel::severity::warning, "service.brittle", std::nullopt,
+                           {{"target", target.name},
+                            {"rejections_per_second", std::uint64_t{*limit}},
+                            {"members", std::uint64_t{this->members}}});
+}
+
+void dispatcher::on_rejected_by_target(const assignment& attempt) {
+    this->brittle.on_rejection(attempt.target->registration.service, attempt.target->serial,
+                               this->loop.time().now());
+}
+
 void dispatcher::on_quiet(const assignment& attempt, helpers::duration time) {
     const auto& target = *attempt.target;
     this->quiet.on_rejection(target.serial, time, this->loop.time().now());
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -2,6 +2,7 @@
 // all gateways share, and queues requests while no target has capacity.
 #pragma once
 
+#include "admission/brittle_services.hpp"
 #include "admission/fair_start_tags.hpp"
 #include "admission/fleet_share.hpp"
 #include "admission/quiet_times.hpp"
@@ -105,6 +106,11 @@
     void on_occupancy_report(const assignment& attempt, const admission::occupancy_report& report);
     // The target has responded; `per_second` is empty if the response names no limit.
     void on_limit(const assignment& attempt, std::optional<double> per_second);
+    // The target has responded; `limit` is the number of rejections a second above which it falls
+    // over, if it says that it is brittle.
+    void on_brittleness(const assignment& attempt, std::optional<std::uint32_t> limit);
+    // The target has rejected the request for want of room.
+    void on_rejected_by_target(const assignment& attempt);
     // The target has rejected the request and asks to be sent nothing for a time.
     void on_quiet(const assignment& attempt, helpers::duration time);
     bool is_quiet(const discovery::tracked_target& target) const {
@@ -194,6 +200,7 @@
     std::optional<helpers::endpoint> address_of(helpers::service_id service,
                                                 std::uint64_t serial) const;
     placement::choice_context choice_context() const;
+    bool has_room(const discovery::tracked_target& target, helpers::time_point now);
     bool is_reachable(const discovery::tracked_target& target, const dispatch_request& request,
                       helpers::time_point now);
     bool is_usable(const discovery::tracked_target& target, const dispatch_request& request,
@@ -224,6 +231,7 @@
     admission::target_limits limits;
     admission::target_paths target_paths;
     admission::quiet_times quiet;
+    admission::brittle_services brittle;
     std::shared_ptr<const routing::route_table> table;
     std::unordered_map<helpers::service_id, service_state> services;
     std::unordered_map<std::uint64_t, admission::target_load> loads;
--- a/src/gateway/header_names.hpp
+++ b/src/gateway/header_names.hpp
@@ -32,6 +32,9 @@
     // Set in responses of a target in need: requests per second that it takes from all gateways
     // together, as a decimal number, for as long as its responses have it.
     std::string target_limit = "x-target-limit";
+    // Set in responses of a target that falls over if it has to reject more requests than this, a
+    // whole number, within a second.
+    std::string target_brittle = "x-target-brittle";
     // Set to 1 in all responses of a target that is about to stop.
     std::string target_leaving = "x-target-leaving";
     // Set in rejections by a target: the request was not executed.
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -149,6 +149,7 @@
     bool matches_request_id(const http::header_list& headers) const;
     void read_occupancy_report(const http::header_list& headers);
     void read_target_limit(const http::header_list& headers);
+    void read_brittleness(const http::header_list& headers);
     void read_quiet_time(const http::header_list& headers);
     void read_leaving(const http::header_list& headers, std::uint64_t target);
     void begin_response();
--- a/src/gateway/proxied_request_relay.cpp
+++ b/src/gateway/proxied_request_relay.cpp
@@ -1,5 +1,5 @@
-// Requests that another gateway serves, since this one has no path to the targets, and requests of
-// such gateways that this one cannot serve either.
+// Requests that another gateway serves, since this one has no path or room at the targets, and
+// requests of such gateways that this one cannot serve either.
 #include "gateway/proxied_request.hpp"
 
 #include <charconv>
@@ -56,7 +56,7 @@
         kernel::severity::info, "request.relayed", std::nullopt,
         {{"request_id", this->metadata.id},
          {"peer", peer->name},
-         {"reason", std::string("no path to the target")},
+         {"reason", std::string("no path or room at the target")},
          {"broken_paths", std::uint64_t{this->services.dispatch.paths().broken_count()}},
          {"refused_by", std::uint64_t{this->tried_peers.size()}},
          {"left_ms", helpers::whole_milliseconds(this->time_left())}});
@@ -177,13 +177,13 @@
 void proxied_request::refuse_relayed() {
     if (this->response_started || this->may_have_run) {
         this->finish_without_response(attempt_outcome::maybe_run,
-                                      {error_kind::no_target, "no path to a target"});
+                                      {error_kind::no_target, "no path or room at the target"});
         return;
     }
     ++this->services.counters.rejected;
-    this->caller->respond(status_unavailable, {{std::string(relay_fields::refused), "no path"}},
-                          "");
-    this->finish("not run", "no path to the target");
+    this->caller->respond(status_unavailable,
+                          {{std::string(relay_fields::refused), "no path or room"}}, "");
+    this->finish("not run", "no path or room at the target");
 }
 
 } // namespace samphirespool::gateway
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -67,6 +67,18 @@
                                  {"value", std::string(text->substr(0, max_logged_value))}});
 }
 
+void proxied_request::read_brittleness(const http::header_list& headers) {
+    const auto text = http::find_header(headers, this->services.names.target_brittle);
+    const auto limit = text ? admission::parse_rejection_limit(*text) : std::nullopt;
+    this->services.dispatch.on_brittleness(*this->current_assignment, limit);
+    if (text && !limit)
+        this->services.events.write(kernel::severity::warning, "target.brittleness_rejected",
+                                    std::nullopt,
+                                    {{"request_id", this->metadata.id},
+                                     {"target", this->last_target_name},
+                                     {"value", std::string(text->substr(0, max_logged_value))}});
+}
+
 void proxied_request::read_quiet_time(const http::header_list& headers) {
     const auto text = http::find_header(headers, "retry-after");
     if (!text)
@@ -106,9 +118,12 @@
     }
     this->read_leaving(headers, this->current_assignment->target->serial);
     this->read_target_limit(headers);
+    this->read_brittleness(headers);
     if (http::find_header(headers, names.not_run)) {
-        if (response_status == status_unavailable)
+        if (response_status == status_unavailable) {
             this->read_quiet_time(headers);
+            this->services.dispatch.on_rejected_by_target(*this->current_assignment);
+        }
         this->finish_attempt(attempt_outcome::not_run,
                              {error_kind::queue_full, "the target did not run the request"});
         return;
