--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -165,9 +165,8 @@
 
 dispatcher::assign_outcome dispatcher::try_assign(dispatch_request& request) {
     const auto targets = this->catalog.targets_of(request.service);
-    const auto possible = this->check_targets(request);
-    if (possible != assign_outcome::assigned)
-        return possible;
+    if (const auto obstacle = this->find_obstacle(request))
+        return *obstacle;
     const auto chosen = this->choose(request);
     // Another gateway may have slots of a brittle service to spare.
     if (!chosen && this->brittle.is_brittle(request.service))
@@ -191,8 +190,8 @@
     return assign_outcome::assigned;
 }
 
-// Returns `assigned` if the request may have a target at all.
-dispatcher::assign_outcome dispatcher::check_targets(const dispatch_request& request) const {
+std::optional<dispatcher::assign_outcome>
+dispatcher::find_obstacle(const dispatch_request& request) const {
     bool any_eligible = false;
     bool any_path = false;
     bool any_broken = false;
@@ -210,7 +209,7 @@
     const auto quiet_for = this->quiet_time_left(request.service);
     if (quiet_for && this->loop.time().now() + *quiet_for > request.queue_deadline)
         return assign_outcome::all_quiet;
-    return any_broken && !any_path ? assign_outcome::no_path : assign_outcome::assigned;
+    return any_broken && !any_path ? std::optional(assign_outcome::no_path) : std::nullopt;
 }
 
 placement::choice_context dispatcher::choice_context() const {
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -191,7 +191,8 @@
     };
 
     assign_outcome try_assign(dispatch_request& request);
-    assign_outcome check_targets(const dispatch_request& request) const;
+    // Why the request can have no target now, whatever their load; nothing if it may have one.
+    std::optional<assign_outcome> find_obstacle(const dispatch_request& request) const;
     static bool was_tried(const dispatch_request& request, const discovery::tracked_target& target);
     service_state& state_of(helpers::service_id service);
     std::optional<placement::choice> choose(const dispatch_request& request);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -196,6 +196,18 @@
     count("relays_refused_total",
           "Requests that the other gateway did not serve, or whose connection to it failed.",
           this->counters.relays_refused);
+    this->register_gauges();
+    auto& first_byte = this->metric_registry.make_histogram(
+        {"first_part_seconds",
+         "Time from the arrival of a request to the first byte of its response."},
+        latency_bounds);
+    auto& total = this->metric_registry.make_histogram(
+        {"request_seconds", "Time from the arrival of a request to its end."}, latency_bounds);
+    this->latencies.first_byte = [&first_byte](double seconds) { first_byte.record(seconds); };
+    this->latencies.total = [&total](double seconds) { total.record(seconds); };
+}
+
+void gateway::register_gauges() {
     this->metric_registry.watch_gauge(
         {"broken_paths", "Targets to which this gateway cannot connect."},
         [this] { return static_cast<double>(this->dispatch.paths().broken_count()); });
@@ -233,14 +245,6 @@
     this->metric_registry.watch_gauge(
         {"store_reachable", "1 if the last call to the store succeeded, else 0."},
         [this] { return this->fleet.is_store_reachable() ? 1.0 : 0.0; });
-    auto& first_byte = this->metric_registry.make_histogram(
-        {"first_part_seconds",
-         "Time from the arrival of a request to the first byte of its response."},
-        latency_bounds);
-    auto& total = this->metric_registry.make_histogram(
-        {"request_seconds", "Time from the arrival of a request to its end."}, latency_bounds);
-    this->latencies.first_byte = [&first_byte](double seconds) { first_byte.record(seconds); };
-    this->latencies.total = [&total](double seconds) { total.record(seconds); };
 }
 
 std::unique_ptr<http::h2o_server> gateway::listen(const helpers::endpoint& address,
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -57,6 +57,7 @@
     void reject_while_shutting_down(http::exchange& incoming);
     void respond_to_readiness_check(http::exchange& incoming) const;
     void register_metrics();
+    void register_gauges();
     void check_shutdown();
     void finish_shutdown();
 
--- a/tests/gateway/test_brittle_targets.cpp
+++ b/tests/gateway/test_brittle_targets.cpp
@@ -14,6 +14,14 @@
 const auto desk = helpers::id_of<helpers::service_id>("desk");
 constexpr std::uint32_t rejection_limit = 4;
 
+std::vector<std::string> names_of(int gateways) {
+    std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(gateways));
+    for (int i = 0; i < gateways; ++i)
+        names.push_back("g" + std::to_string(i));
+    return names;
+}
+
 // Gateways in front of targets that reject what finds no free slot, and fall over at too many
 // rejections in a second. Every 100 ms all gateways receive the fleet's counts.
 class brittle_fleet {
@@ -23,9 +31,7 @@
         values.version = 1;
         values.services.emplace(desk, routing::service{"desk", "/health", 100, 0, std::nullopt});
         const auto table = std::make_shared<const routing::route_table>(std::move(values));
-        std::vector<std::string> names;
-        for (int i = 0; i < gateways; ++i)
-            names.push_back("g" + std::to_string(i));
+        const auto names = names_of(gateways);
         for (int i = 0; i < targets; ++i)
             this->registrations.push_back(
                 tests::make_target("t" + std::to_string(i), "desk", "east", slots));
@@ -224,9 +230,7 @@
 }
 
 TEST_CASE("brittle targets: the slots of a target are divided, and all of them are given out") {
-    std::vector<std::string> names;
-    for (int i = 0; i < 9; ++i)
-        names.push_back("g" + std::to_string(i));
+    const auto names = names_of(9);
     for (const std::uint32_t slots : {1U, 6U, 9U, 64U}) {
         CAPTURE(slots);
         std::uint32_t sum = 0;
