One builder of a caller's request for targets and gateways; a relay port that the system chooses is not announced

With relay_listen on port 0 the entry that a gateway read back would have differed from its own, so that it would have registered again and again; found by reading the code.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -36,9 +36,11 @@
 }
 
 exchange::member own_member(const settings::gateway_settings& settings) {
+    // A port that the system chooses cannot be told to the others.
+    const auto relay_address =
+        settings.relay_listen.port == 0 ? helpers::endpoint() : settings.relay_listen;
     return {settings.name, settings.data_centre, settings.peer_listen,
-            static_cast<std::uint32_t>(settings.link_mbps * settings.cpu_share),
-            settings.relay_listen};
+            static_cast<std::uint32_t>(settings.link_mbps * settings.cpu_share), relay_address};
 }
 
 // Changes of the configuration and of the targets are distributed in the same way, so the shorter
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -266,17 +266,30 @@
     this->call = this->services.targets.start(this->make_target_request(), *this);
 }
 
-http::client_request proxied_request::make_target_request() const {
+http::client_request proxied_request::make_request(const helpers::endpoint& to) const {
     const auto incoming = this->caller->request();
-    const auto& target = this->current_assignment->target->registration;
-    const auto& names = this->services.names;
     http::client_request request;
-    request.to = target.address;
+    request.to = to;
     request.method = incoming.method;
     request.host = incoming.authority;
     request.path = incoming.path;
     if (!incoming.query.empty())
         request.path.append("?").append(incoming.query);
+    request.body = incoming.body;
+    request.connect_timeout = std::min(connect_timeout, this->time_left());
+    request.first_byte_timeout = this->time_left() + min_time_left;
+    request.idle_timeout = request.first_byte_timeout;
+    // On a pooled connection the other side's close may be noticed only after the request was sent,
+    // which leaves open whether it ran.
+    request.requires_new_connection = !this->route->is_idempotent;
+    return request;
+}
+
+http::client_request proxied_request::make_target_request() const {
+    const auto incoming = this->caller->request();
+    const auto& target = this->current_assignment->target->registration;
+    const auto& names = this->services.names;
+    auto request = this->make_request(target.address);
     request.headers = forwarded_headers(incoming.headers, names);
     request.headers.push_back(
         {names.deadline, std::to_string(helpers::whole_milliseconds(this->time_left()))});
@@ -296,13 +309,6 @@
     if (this->current_assignment->prefix_holder)
         request.headers.push_back(
             {names.fetch_from, helpers::to_string(*this->current_assignment->prefix_holder)});
-    request.body = incoming.body;
-    request.connect_timeout = std::min(connect_timeout, this->time_left());
-    request.first_byte_timeout = this->time_left() + min_time_left;
-    request.idle_timeout = request.first_byte_timeout;
-    // On a pooled connection the target's close may be noticed only after the request was sent,
-    // which leaves open whether it ran.
-    request.requires_new_connection = !this->route->is_idempotent;
     return request;
 }
 
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -138,6 +138,8 @@
     void request_target();
     void on_assigned(assignment assigned);
     void start_attempt();
+    // The caller's request for another address, without header fields.
+    http::client_request make_request(const helpers::endpoint& to) const;
     http::client_request make_target_request() const;
     helpers::duration time_left() const;
     void arm_silence_timer(helpers::duration wait);
--- a/src/gateway/proxied_request_relay.cpp
+++ b/src/gateway/proxied_request_relay.cpp
@@ -10,8 +10,6 @@
 
 using kernel::error_kind;
 
-// Gateways accept a connection within a few milliseconds.
-constexpr helpers::duration connect_timeout = std::chrono::milliseconds(250);
 constexpr int first_success = 200;
 constexpr int first_redirect = 300;
 constexpr int status_unavailable = 503;
@@ -66,13 +64,7 @@
 http::client_request proxied_request::make_relay_request(const relay_peer& peer) const {
     const auto incoming = this->caller->request();
     const auto& names = this->services.names;
-    http::client_request request;
-    request.to = peer.address;
-    request.method = incoming.method;
-    request.host = incoming.authority;
-    request.path = incoming.path;
-    if (!incoming.query.empty())
-        request.path.append("?").append(incoming.query);
+    auto request = this->make_request(peer.address);
     request.headers = relayed_headers(incoming.headers, names);
     request.headers.push_back(
         {names.deadline, std::to_string(helpers::whole_milliseconds(this->time_left()))});
@@ -86,11 +78,6 @@
         request.headers.push_back({names.last_event_id, std::to_string(*this->splitter.last_id())});
         request.headers.push_back({names.resumed_attempt, this->metadata.id});
     }
-    request.body = incoming.body;
-    request.connect_timeout = std::min(connect_timeout, this->time_left());
-    request.first_byte_timeout = this->time_left() + connect_timeout;
-    request.idle_timeout = request.first_byte_timeout;
-    request.requires_new_connection = !this->route->is_idempotent;
     return request;
 }
 
