Relays: a gateway with an older configuration refuses

The ticket names the version under which the request was admitted, and a gateway that has not reached it refuses, so that another one is asked. The new test fails on the code before.

--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -121,6 +121,10 @@
         this->reject({error_kind::not_ready, "no configuration yet"}, request_outcome::not_run);
         return false;
     }
+    if (this->ticket && this->ticket->version > this->table->values().version) {
+        this->refuse_relayed("the configuration here is older");
+        return false;
+    }
     this->route = this->table->find_route(incoming.authority, incoming.path);
     if (this->route == nullptr) {
         this->reject({error_kind::not_found, "no route for this host and path"},
@@ -230,7 +234,7 @@
     if (this->ticket)
         request.on_no_path = [this] {
             this->dispatch_id = 0;
-            this->defer([this] { this->refuse_relayed(); });
+            this->defer([this] { this->refuse_relayed("no path or room at the target"); });
         };
     else if (this->may_relay())
         request.on_no_path = [this] {
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -131,7 +131,7 @@
     // What the gateway that passed the request on has to know of the response.
     void add_relay_fields();
     // Tells the gateway that passed the request on to ask another one.
-    void refuse_relayed();
+    void refuse_relayed(std::string_view reason);
 
     bool admit();
     bool check_api_key();
--- a/src/gateway/proxied_request_relay.cpp
+++ b/src/gateway/proxied_request_relay.cpp
@@ -68,9 +68,11 @@
     request.headers = relayed_headers(incoming.headers, names);
     request.headers.push_back(
         {names.deadline, std::to_string(helpers::whole_milliseconds(this->time_left()))});
-    request.headers.push_back({std::string(relay_fields::ticket),
-                               this->services.relay_tickets.sign(
-                                   {this->services.peers.own_name(), this->attempts}, incoming)});
+    request.headers.push_back(
+        {std::string(relay_fields::ticket),
+         this->services.relay_tickets.sign(
+             {this->services.peers.own_name(), this->attempts, this->table->values().version},
+             incoming)});
     if (this->splitter.last_id() && this->response_started) {
         std::erase_if(request.headers, [&](const auto& field) {
             return field.name == names.last_event_id || field.name == names.resumed_attempt;
@@ -161,7 +163,7 @@
             {std::string(relay_fields::software), std::to_string(*this->stream_software)});
 }
 
-void proxied_request::refuse_relayed() {
+void proxied_request::refuse_relayed(std::string_view reason) {
     if (this->response_started || this->may_have_run) {
         this->finish_without_response(attempt_outcome::maybe_run,
                                       {error_kind::no_target, "no path or room at the target"});
@@ -169,8 +171,8 @@
     }
     ++this->services.counters.rejected;
     this->caller->respond(status_unavailable,
-                          {{std::string(relay_fields::refused), "no path or room"}}, "");
-    this->finish("not run", "no path or room at the target");
+                          {{std::string(relay_fields::refused), std::string(reason)}}, "");
+    this->finish("not run", reason);
 }
 
 } // namespace samphirespool::gateway
--- a/src/gateway/relay_ticket.cpp
+++ b/src/gateway/relay_ticket.cpp
@@ -45,6 +45,18 @@
     return result;
 }
 
+// Removes the number after the last comma.
+template <class Number>
+bool pop_number(std::string_view& text, Number& number) {
+    const auto comma = text.rfind(',');
+    if (comma == std::string_view::npos)
+        return false;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + comma + 1, end, number);
+    text = text.substr(0, comma);
+    return parsed.ec == std::errc() && parsed.ptr == end;
+}
+
 std::span<const std::uint8_t> as_bytes(std::string_view text) {
     return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
 }
@@ -53,7 +65,8 @@
 
 std::string relay_signer::sign(const relay_ticket& ticket,
                                const http::server_request& request) const {
-    const auto content = ticket.from + "," + std::to_string(ticket.attempts);
+    const auto content =
+        ticket.from + "," + std::to_string(ticket.attempts) + "," + std::to_string(ticket.version);
     const auto head = signed_head(content, request);
     const std::array parts{as_bytes(head), as_bytes(request.body)};
     return content + "," + to_hex(this->signer.sign(parts));
@@ -66,17 +79,19 @@
         return std::nullopt;
     const auto content = text.substr(0, tag_at);
     const auto tag = parse_tag(text.substr(tag_at + 1));
-    const auto attempts_at = content.rfind(',');
-    if (!tag || attempts_at == std::string_view::npos)
+    if (!tag)
         return std::nullopt;
     const auto head = signed_head(content, request);
     const std::array parts{as_bytes(head), as_bytes(request.body)};
     if (!this->signer.verify(parts, *tag))
         return std::nullopt;
-    relay_ticket ticket{std::string(content.substr(0, attempts_at))};
-    const auto* end = content.data() + content.size();
-    const auto parsed = std::from_chars(content.data() + attempts_at + 1, end, ticket.attempts);
-    return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(ticket) : std::nullopt;
+    // Names may contain commas, so the numbers are read from the end.
+    auto rest = content;
+    relay_ticket ticket;
+    if (!pop_number(rest, ticket.version) || !pop_number(rest, ticket.attempts))
+        return std::nullopt;
+    ticket.from = rest;
+    return ticket;
 }
 
 } // namespace samphirespool::gateway
--- a/src/gateway/relay_ticket.hpp
+++ b/src/gateway/relay_ticket.hpp
@@ -33,6 +33,8 @@
     std::string from;
     // Attempts at targets that it has made before.
     std::uint32_t attempts = 0;
+    // Version of the configuration under which it has admitted the request.
+    std::uint64_t version = 0;
 };
 
 class relay_signer {
--- a/tests/gateway/test_relay.cpp
+++ b/tests/gateway/test_relay.cpp
@@ -47,17 +47,16 @@
     }
     // A request that another gateway has passed on to this one.
     caller& receive(const std::string& path, std::uint32_t attempts = 0,
-                    http::header_list extra = {}) {
+                    std::uint64_t version = 7) {
         http::header_list headers{{"x-request-id", "id-" + std::to_string(++this->sequence)},
                                   {"x-deadline-ms", "5000"},
                                   {"authorization", "Bearer key"}};
-        headers.insert(headers.end(), extra.begin(), extra.end());
         auto& added = this->callers.emplace_back();
         added.request = std::make_unique<gateway::proxied_request>(
             this->services,
             std::make_unique<tests::fake_exchange>("POST", path, "body", added.response, headers),
             this->table, this->loop.time().now(), this->sequence,
-            [&added] { added.is_finished = true; }, relay_ticket{"g2", attempts});
+            [&added] { added.is_finished = true; }, relay_ticket{"g2", attempts, version});
         added.request->start();
         this->process_events();
         return added;
@@ -334,11 +333,12 @@
     const relay_signer other{std::vector<wire::bytes>{wire::bytes(32, 8)}};
     const http::header_list none;
     const http::server_request request{"POST", "host", "/a/b", "q=1", "body", none};
-    const auto text = signer.sign({"g1", 2}, request);
+    const auto text = signer.sign({"g1", 2, 40}, request);
     const auto verified = signer.verify(text, request);
     REQUIRE(verified);
     CHECK(verified->from == "g1");
     CHECK(verified->attempts == 2);
+    CHECK(verified->version == 40);
     CHECK_FALSE(other.verify(text, request));
     for (const http::server_request& changed :
          {http::server_request{"GET", "host", "/a/b", "q=1", "body", none},
@@ -358,7 +358,7 @@
 
 TEST_CASE("relay: the fields between gateways are neither taken from callers nor sent to targets") {
     relay_fixture gateway;
-    gateway.send("/look/1", {{ticket_field, "g2,0,00"}, {"samphirespool-relay-other", "1"}});
+    gateway.send("/look/1", {{ticket_field, "g2,0,7,00"}, {"samphirespool-relay-other", "1"}});
     REQUIRE(gateway.call_count() == 1);
     CHECK(gateway.last_call().header(ticket_field).empty());
     CHECK(gateway.last_call().header("samphirespool-relay-other").empty());
@@ -369,8 +369,8 @@
     CHECK(gateway.callers.back().response.status == 200);
     CHECK_FALSE(http::find_header(gateway.callers.back().response.headers, refused_field));
     gateway.set_paths(false);
-    gateway.send("/look/2", {{ticket_field, "g2,0,00"}});
-    CHECK(gateway.last_call().header(ticket_field).starts_with("g1,0,"));
+    gateway.send("/look/2", {{ticket_field, "g2,0,7,00"}});
+    CHECK(gateway.last_call().header(ticket_field).starts_with("g1,0,7,"));
 }
 
 TEST_CASE("relay peers: unreachable and refusing ones are passed over for growing times") {
@@ -491,3 +491,18 @@
     CHECK_FALSE(gateway.catalog.is_eligible(*gateway.catalog.find(name)));
     CHECK(gateway.catalog.leaving_count() == 1);
 }
+
+// Guards against CONFIG: a gateway that wakes with an older configuration answers for one that has
+// the newer one.
+TEST_CASE("relay: a gateway with an older configuration refuses") {
+    relay_fixture gateway;
+    gateway.receive("/unknown/1", 0, 8);
+    CHECK(gateway.call_count() == 0);
+    CHECK(gateway.callers.back().response.status == 503);
+    CHECK(http::find_header(gateway.callers.back().response.headers, refused_field));
+    // Its own or a later configuration decides.
+    gateway.receive("/unknown/1", 0, 7);
+    CHECK(gateway.callers.back().response.status == 404);
+    gateway.receive("/look/1", 0, 6);
+    CHECK(gateway.call_count() == 1);
+}
