Relays: only what other gateways have succeeded with since a path broke shows that they reach the target

A target that had just crashed stayed a candidate for up to three seconds, since the fleet's results of that time still held its successes, and requests for it were passed on to gateways that did not reach it either, or were frozen. A rise of the fleet's successes while the path is broken is the evidence now. The new test fails on the code before.

--- a/src/admission/target_load.cpp
+++ b/src/admission/target_load.cpp
@@ -52,10 +52,15 @@
     this->exchanged_until = valid_until;
 }
 
-void target_load::set_fleet_results(const result_counts& fleet, helpers::time_point now,
-                                    helpers::time_point valid_until) {
-    const bool is_reached = fleet.responses > this->recent_results(now).responses;
-    this->reached_by_peers_until = is_reached ? valid_until : helpers::time_point();
+void target_load::set_fleet_successes(std::uint32_t fleet, bool is_path_broken,
+                                      helpers::time_point now) {
+    const auto peers = fleet - std::min(fleet, this->recent_results(now).responses);
+    // The sum is of a sliding window: a rise is a new success.
+    if (!is_path_broken)
+        this->peers_reached_at.reset();
+    else if (peers > this->peer_successes)
+        this->peers_reached_at = now;
+    this->peer_successes = peers;
 }
 
 double target_load::peer_requests(double typical, helpers::time_point now) const {
--- a/src/admission/target_load.hpp
+++ b/src/admission/target_load.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 namespace samphirespool::admission {
 
@@ -32,12 +33,11 @@
     // Sets the number of requests that all peers together have on the target, from the exchange.
     void set_peer_requests(std::uint32_t count, helpers::time_point valid_until);
 
-    // Sets the recent results of the whole fleet, from the exchange.
-    void set_fleet_results(const result_counts& fleet, helpers::time_point now,
-                           helpers::time_point valid_until);
-    // Whether requests of other gateways have succeeded there within result_window.
+    // Sets the recent successes of the whole fleet, from the exchange. Those that other gateways
+    // add while this one's path is broken show that they reach the target.
+    void set_fleet_successes(std::uint32_t fleet, bool is_path_broken, helpers::time_point now);
     bool is_reached_by_peers(helpers::time_point now) const {
-        return now < this->reached_by_peers_until;
+        return this->peers_reached_at && now - *this->peers_reached_at < result_window;
     }
 
     // Estimated requests on the target, own and peers'. `typical` is the number assumed for the
@@ -92,7 +92,9 @@
     bool has_report = false;
     std::uint32_t exchanged_peers = 0;
     helpers::time_point exchanged_until{};
-    helpers::time_point reached_by_peers_until{};
+    std::uint32_t peer_successes = 0;
+    // When peer_successes last rose while this gateway's path was broken.
+    std::optional<helpers::time_point> peers_reached_at;
     std::uint32_t failures = 0;
     helpers::time_point ejected_until{};
     sliding_counts<result_counts, 6> results{result_window};
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -376,9 +376,8 @@
         load.set_peer_requests(found == counts.end() ? max_unlisted_in_flight / 2
                                                      : found->second.in_flight,
                                valid_until);
-        load.set_fleet_results(found == counts.end() ? admission::result_counts()
-                                                     : found->second.results,
-                               now, valid_until);
+        load.set_fleet_successes(found == counts.end() ? 0 : found->second.results.responses,
+                                 this->target_paths.is_broken(target->serial), now);
     }
     if (any_failed)
         for (const auto& [service, state] : this->services)
--- a/tests/gateway/test_relay.cpp
+++ b/tests/gateway/test_relay.cpp
@@ -424,6 +424,9 @@
     gateway.dispatch.paths().on_probed(targets[1]->serial, false);
     int relayed = 0;
     for (int i = 0; i < 60; ++i) {
+        // Other gateways go on to succeed there.
+        for (auto& each : fleet_counts)
+            ++each.results.responses;
         gateway.dispatch.set_peer_counts(fleet_counts, 0, 100ms);
         gateway.send("/look/1");
         relayed += relay_fixture::is_relay(gateway.last_call()) ? 1 : 0;
@@ -432,7 +435,7 @@
     }
     CHECK(relayed >= 30);
     CHECK(relayed < 60);
-    // Nobody reaches them: the target with a path gets all.
+    // Nobody succeeds there any more: the target with a path gets all.
     for (auto& each : fleet_counts)
         each.results = {0, 5};
     gateway.advance(4s);
@@ -445,6 +448,28 @@
     }
 }
 
+// Guards against requests being passed on for targets that are dead: results from before say
+// nothing.
+TEST_CASE("relay: successes of others from before a path broke are no evidence") {
+    relay_fixture gateway;
+    const auto targets = gateway.catalog.all_targets();
+    exchange::target_counts fleet_counts;
+    for (const auto& each : targets)
+        fleet_counts.push_back({each->incarnation_hash, 0, {50, 0}, {}});
+    gateway.dispatch.set_peer_counts(fleet_counts, 0, 100ms);
+    gateway.dispatch.paths().on_probed(targets[0]->serial, false);
+    for (int i = 0; i < 30; ++i) {
+        // The window slides on.
+        for (auto& each : fleet_counts)
+            --each.results.responses;
+        gateway.dispatch.set_peer_counts(fleet_counts, 0, 100ms);
+        gateway.send("/look/1");
+        CHECK_FALSE(relay_fixture::is_relay(gateway.last_call()));
+        gateway.last_call().respond(200, "answer");
+        gateway.process_events();
+    }
+}
+
 TEST_CASE("relay: a gateway whose own path to the chosen target is broken refuses") {
     relay_fixture gateway;
     const auto targets = gateway.catalog.all_targets();
@@ -455,6 +480,8 @@
         gateway.dispatch.paths().on_probed(targets[i]->serial, false);
     int refused = 0;
     for (int i = 0; i < 30; ++i) {
+        for (auto& each : fleet_counts)
+            ++each.results.responses;
         gateway.dispatch.set_peer_counts(fleet_counts, 0, 100ms);
         const auto calls = gateway.call_count();
         gateway.receive("/look/1");
