--- a/scripts/gatewaylib/paths.py
+++ b/scripts/gatewaylib/paths.py
@@ -31,15 +31,16 @@
         self.is_cut = True
         self.server.close()
         await self.server.wait_closed()
+        # Nobody else may get the port meanwhile. Without a listener connections are refused.
+        holder = socket.socket()
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(("127.0.0.1", self.port))
+        self.blockers = [holder]
         if mode == "hang":
-            self.block()
+            self.block(holder)
 
-    def block(self):
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(("127.0.0.1", self.port))
+    def block(self, listener):
         listener.listen(0)
-        self.blockers = [listener]
         for _ in range(FILLERS):
             filler = socket.socket()
             filler.setblocking(False)
