--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -152,6 +152,7 @@
         self.sent_to = {}
         self.bounds = dict(BOUNDS)
         self.limits = {"memoryMb": 260, "linkMbps": 1000.0, "cpuShare": 0.25}
+        self.max_body_bytes = 1048576
         self.config = None
         # Address of the store by the gateway's name, where a proxy stands between them.
         self.store_proxies = {}
@@ -167,7 +168,7 @@
         await self.store.start(f"{self.network}.1")
         self.config = {
             "version": 10, "routes": routes, "services": services,
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeoutMs": 3000,
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": self.max_body_bytes, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": 15000},
             "tenants": [{"name": "tenant-1", "apiKeys": [KEY]}],
         }
@@ -197,8 +198,10 @@
     async def connect(self, gateway):
         return await asyncio.wait_for(asyncio.open_connection(gateway.ip, gateway.port), 1)
 
-    async def send(self, gateway, path, deadline_ms, body=b"", method="POST", more=None, kept=None):
-        """One attempt of a client, on a connection of its own or on a kept one, which stays open."""
+    async def send(self, gateway, path, deadline_ms, body=b"", method="POST", more=None, kept=None,
+                   pace=None):
+        """One attempt of a client, on a connection of its own or on a kept one, which stays open. `pace`: the body
+        is sent in parts of so many bytes, with a pause of so many seconds between them."""
         attempt = f"{next(self.attempts):016x}"
         answer = Answer(attempt, time.monotonic())
         self.sent_to[attempt] = gateway.name
@@ -209,7 +212,9 @@
         try:
             connection = connection or await self.connect(gateway)
             reader, writer = connection
-            writer.write(http.message(f"{method} {path} HTTP/1.1", fields, body))
+            writer.write(http.message(f"{method} {path} HTTP/1.1", fields, b"" if pace else body))
+            if pace:
+                await self.send_slowly(writer, body, *pace)
             await asyncio.wait_for(self.receive(reader, answer), deadline_ms / 1000 + 1)
         except asyncio.TimeoutError:
             answer.result = "none" if connection is not None else "refused"
@@ -224,6 +229,13 @@
                     answer.fields.get("retry-after", ""))
         return answer
 
+    @staticmethod
+    async def send_slowly(writer, body, part, pause):
+        for start in range(0, len(body), part):
+            writer.write(body[start:start + part])
+            await writer.drain()
+            await asyncio.sleep(pause)
+
     @staticmethod
     async def receive(reader, answer):
         head = await http.read_head(reader)
