--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -266,9 +266,11 @@
     site = Site(os.path.dirname(os.path.abspath(script)))
 
     async def guarded():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             code, verdict = await asyncio.wait_for(case(site), 110)
-        except (OSError, asyncio.TimeoutError, RuntimeError) as error:
+        # Whatever happens, the processes that were started are ended.
+        except (Exception, asyncio.CancelledError) as error:
             code, verdict = COULD_NOT_RUN, f"could not run: {error!r}"
         site.record("verdict", code, verdict)
         print(f"{'with' if site.trouble else 'without'} the disruption: {verdict}", flush=True)
