--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -138,7 +138,8 @@
 class Site:
     def __init__(self, folder):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.record_file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.record_file = open(
+            os.environ.get("RECORD") or os.path.join(folder, "record.txt"), "w", encoding="utf-8")
         self.began = time.monotonic()
         self.temporary = tempfile.TemporaryDirectory(prefix="samphirespool-review-")
         self.folder = self.temporary.name
