--- a/review/4/case.py
+++ b/review/4/case.py
@@ -6,7 +6,7 @@
 import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "tests", "process"))
 
 from standins import http, site as sites  # noqa: E402
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 set -e
 cd "$(dirname "$0")"
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 9))'
-for file in standins/*.py [1-5]/case.py; do
+for file in ../tests/process/standins/*.py */case.py; do
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1], encoding="utf-8").read())' "$file"
 done
--- a/src/admission/fleet_share.cpp
+++ b/src/admission/fleet_share.cpp
@@ -1,4 +1,4 @@
-// Computes this gateway's shares of the fleet-wide limits.
+// Computes this gateway's share of requests to cold targets.
 #include "admission/fleet_share.hpp"
 
 #include "admission/member_rank.hpp"
@@ -16,26 +16,6 @@
 
 } // namespace
 
-fleet_retry_budget::recent_usage& fleet_retry_budget::usage_of(helpers::service_id service) {
-    return this->services.try_emplace(service, this->limits.window).first->second;
-}
-
-void fleet_retry_budget::record_request(helpers::service_id service, helpers::time_point now) {
-    ++this->usage_of(service).current(now).requests;
-}
-
-bool fleet_retry_budget::try_spend(helpers::service_id service, helpers::time_point now) {
-    auto& counts = this->usage_of(service);
-    const auto sums = counts.sum(now);
-    const auto burst = this->limits.burst * divided_fraction /
-                       static_cast<double>(std::max<std::size_t>(1, this->members));
-    const auto allowed = this->limits.ratio * divided_fraction * sums.requests + burst;
-    if (sums.retries + 1 > allowed)
-        return false;
-    ++counts.current(now).retries;
-    return true;
-}
-
 void cold_target_share::set_members(std::vector<std::string> names) {
     this->members = std::move(names);
     if (std::find(this->members.begin(), this->members.end(), this->self) == this->members.end())
--- a/src/admission/sliding_counts.hpp
+++ b/src/admission/sliding_counts.hpp
@@ -27,10 +27,13 @@
     }
 
     // Sums the counts of the window; includes at most one slice more.
-    Counts sum(helpers::time_point now) const {
+    Counts sum(helpers::time_point now) const { return this->sum_of_latest(Slices + 1, now); }
+
+    // Sums the counts of this many slices, the current one included; at most Slices + 1.
+    Counts sum_of_latest(std::size_t count, helpers::time_point now) const {
         const auto index = now.time_since_epoch() / this->slice;
         Counts result{};
-        for (auto i = std::max<std::int64_t>(0, index - slice_count + 1);
+        for (auto i = std::max<std::int64_t>(0, index - static_cast<std::int64_t>(count) + 1);
              i <= std::min(index, this->newest); ++i)
             result += this->slices.at(index_of(i));
         return result;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -34,7 +34,7 @@
       events(events),
       catalog(catalog),
       settings(settings),
-      budget(settings.retry_limits),
+      budget(settings.retry_limits, loop.time().now()),
       cold(settings.own_name, settings.cold),
       limits(settings.own_name),
       brittle(settings.own_name),
@@ -50,7 +50,7 @@
 
 void dispatcher::set_members(std::vector<std::string> names) {
     this->members = std::max<std::size_t>(1, names.size());
-    this->budget.set_fleet_size(this->members);
+    this->budget.set_members(this->members, this->loop.time().now());
     this->limits.set_members(names);
     this->brittle.set_members(names);
     this->pacing.set_members(names);
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -4,6 +4,7 @@
 
 #include "admission/brittle_services.hpp"
 #include "admission/fair_start_tags.hpp"
+#include "admission/fleet_retry_budget.hpp"
 #include "admission/fleet_share.hpp"
 #include "admission/quiet_times.hpp"
 #include "admission/sliding_counts.hpp"
@@ -103,6 +104,8 @@
         this->table = std::move(latest);
     }
     void set_members(std::vector<std::string> names);
+    // The store stated the current member list, with this gateway in it, at this time.
+    void on_members_confirmed(helpers::time_point at) { this->budget.on_members_confirmed(at); }
 
     // Without a policy every version may receive requests.
     void set_version_policy(version_policy& policy) { this->versions = &policy; }
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -141,7 +141,7 @@
 
 void fleet_state::set_members(const collection_receiver::contents& objects) {
     std::vector<exchange::member> list;
-    bool is_listed = false;
+    this->is_listed = false;
     for (const auto& [name, content] : objects) {
         kernel::error reason;
         auto read = this->services.codec.read_member(name, content, reason);
@@ -150,10 +150,10 @@
                                         {{"member", name}, {"reason", reason.detail}});
             continue;
         }
-        is_listed = is_listed || *read == this->self;
+        this->is_listed = this->is_listed || *read == this->self;
         list.push_back(std::move(*read));
     }
-    if (!is_listed) {
+    if (!this->is_listed) {
         // A list from before the entry was written does not contain it.
         if (!this->registered_at || this->member_feed.position() >= *this->registered_at)
             this->register_self(objects.contains(this->self.name));
@@ -165,11 +165,19 @@
     for (const auto& each : list)
         names.push_back(each.name);
     this->dispatch.set_members(std::move(names));
-    this->is_settled = this->is_settled || is_listed;
+    this->is_settled = this->is_settled || this->is_listed;
     this->known_members = std::move(list);
+    this->confirm_members();
     this->publish_members();
 }
 
+void fleet_state::confirm_members() {
+    const auto now = this->services.loop.time().now();
+    const auto age = this->member_feed.age(now);
+    if (this->is_listed && age < discovery::feed_watch::unknown_age)
+        this->dispatch.on_members_confirmed(now - age);
+}
+
 // Passes the member list on once it contains this gateway's entry, or after max_settling_time.
 // Gateways that start together see each other only after they have registered; before that each
 // would consider itself the first hub.
@@ -240,6 +248,7 @@
 void fleet_state::expire_missing_targets() {
     this->catalog.remove_expired(this->services.loop.time().now());
     this->drained_data_centres.expire();
+    this->confirm_members();
     this->expiry_timer =
         this->services.loop.schedule(expiry_interval, [this] { this->expire_missing_targets(); });
 }
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -143,6 +143,7 @@
     void register_self(bool entry_exists);
     void schedule_registration(bool entry_exists);
     void expire_missing_targets();
+    void confirm_members();
 
     fleet_state_services services;
     discovery::target_catalog& catalog;
@@ -175,6 +176,8 @@
     std::optional<discovery::source_position> registered_at;
     // The member list has contained this gateway's entry.
     bool is_settled = false;
+    // The current one does.
+    bool is_listed = false;
     std::vector<exchange::member> known_members;
     helpers::time_point started_at{};
     kernel::timer_id settling_timer = 0;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -30,6 +30,8 @@
     count("streams_resumed_total", "Streams that were resumed at another target.",
           this->counters.resumed_streams);
     count("repeats_total", "Retries sent to a target.", this->counters.retries);
+    count("repeats_refused_total", "Retries that the fleet's budget did not allow.",
+          this->counters.retries_refused);
     count("targets_suspected_total",
           "Times that a target was suspected because of the fleet's failures there.",
           this->dispatch.suspicions());
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -391,8 +391,23 @@
     if (outcome != attempt_outcome::not_run &&
         this->attempts + earlier >= this->route->max_attempts)
         return false;
-    return this->services.dispatch.retry_budget().try_spend(this->service,
-                                                            this->services.loop.time().now());
+    return this->spend_retry();
+}
+
+bool proxied_request::spend_retry() {
+    const auto now = this->services.loop.time().now();
+    auto& budget = this->services.dispatch.retry_budget();
+    if (budget.try_spend(this->service, now))
+        return true;
+    ++this->services.counters.retries_refused;
+    const auto state = budget.state_of(this->service, now);
+    this->services.events.write(kernel::severity::info, "request.retry_refused", std::nullopt,
+                                {{"request_id", this->metadata.id},
+                                 {"route", this->route->name},
+                                 {"left", state.left},
+                                 {"burst_share", state.burst_share},
+                                 {"after_restart", state.has_restarted}});
+    return false;
 }
 
 void proxied_request::record_error_response() {
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -32,6 +32,8 @@
     std::uint64_t broken_streams = 0;
     std::uint64_t disconnected = 0;
     std::uint64_t retries = 0;
+    // By this gateway's share of the fleet's budget.
+    std::uint64_t retries_refused = 0;
     std::uint64_t resumed_streams = 0;
     // Requests that were passed on to other gateways, and those of other gateways.
     std::uint64_t relays_sent = 0;
@@ -205,6 +207,7 @@
     // Returns whether another attempt is allowed; if so, it is charged to the fleet's retry budget
     // unless no attempt has reached a target yet.
     bool may_retry(attempt_outcome outcome);
+    bool spend_retry();
     void retry();
     void finish_without_response(attempt_outcome outcome, const kernel::error& reason);
     // Returns the current assignment, if there is one, to the dispatcher.
--- a/review/standins/workers.py
+++ b/tests/process/standins/workers.py
@@ -30,6 +30,8 @@
         # async handler(worker, line, fields, body, reader, writer); returns True to use the connection again,
         # False to close it, None to let the worker answer as usual.
         self.handler = None
+        # Called with the attempt of each request that arrives, those that it turns away included.
+        self.on_arrival = None
 
     async def start(self, ip):
         await self.listen(ip, 0)
@@ -86,6 +88,8 @@
                     await http.read_body(reader, fields)
                     continue
                 self.record(self.name, "arrived", attempt, line)
+                if self.on_arrival is not None:
+                    self.on_arrival(attempt)
                 body = await http.read_body(reader, fields)
                 used = None
                 if self.handler is not None:
