--- a/src/discovery/feed.hpp
+++ b/src/discovery/feed.hpp
@@ -46,8 +46,8 @@
 
 struct feed_object {
     std::string name;
-    // JSON text; empty if the object was removed. The whole object for `rollouts`, else what its
-    // writer has given.
+    // JSON text; empty if the object was removed or cannot be read. The whole object for
+    // `rollouts`, else what its writer has given.
     std::string content;
     bool is_removed = false;
     // Revision of the object's last change; 0 if the source did not state it.
@@ -65,6 +65,13 @@
     friend auto operator<=>(const source_position&, const source_position&) = default;
 };
 
+// An object of which the source states more than can be read.
+struct unreadable_object {
+    // Empty if it cannot be read either.
+    std::string name;
+    std::string reason;
+};
+
 // A page of a list, or the changes that a watch returned.
 struct feed_page {
     std::vector<feed_object> objects;
@@ -78,6 +85,8 @@
     std::optional<std::vector<std::string>> all_names = std::nullopt;
     // Era of the revisions; 0 if the source did not state it. See source_position.
     std::uint64_t era = 0;
+    // Those with a name are among `objects` too, without content.
+    std::vector<unreadable_object> unreadable = {};
 };
 
 // Whether a list may be some seconds old, which is cheaper for the store.
--- a/src/discovery/feed_watch.cpp
+++ b/src/discovery/feed_watch.cpp
@@ -113,6 +113,15 @@
     this->freshness = list_freshness::current;
 }
 
+void feed_watch::log_unreadable(const feed_page& page) const {
+    for (const auto& each : page.unreadable)
+        this->events.write(kernel::severity::warning, "feed.object_unreadable", std::nullopt,
+                           {{"collection", std::string(to_string(this->kind))},
+                            {"object", each.name},
+                            {"revision", page.revision},
+                            {"reason", each.reason}});
+}
+
 std::uint64_t feed_watch::era_of(const feed_page& page) const {
     return page.era != 0 ? page.era : this->read_up_to.era;
 }
@@ -125,6 +134,7 @@
         return;
     }
     const auto finished = std::exchange(this->turn, std::nullopt);
+    this->log_unreadable(*page);
     const source_position position{this->era_of(*page), page->revision};
     const bool is_continued =
         !this->partial_position || this->partial_position->era == position.era;
@@ -201,6 +211,7 @@
         return;
     }
     const auto& page = std::get<feed_page>(result);
+    this->log_unreadable(page);
     const source_position position{this->era_of(page), page.revision};
     // Revisions of the earlier era were given out again, so that changes would be missed.
     if (position.era > this->read_up_to.era)
--- a/src/discovery/feed_watch.hpp
+++ b/src/discovery/feed_watch.hpp
@@ -92,6 +92,7 @@
     // What is known stays in use, but is read anew.
     void on_new_era();
     void require_current_list();
+    void log_unreadable(const feed_page& page) const;
     // Era of the page; the era of the content so far if the page states none.
     std::uint64_t era_of(const feed_page& page) const;
     void on_listed(feed_result result);
--- a/tests/platform/test_object_json.cpp
+++ b/tests/platform/test_object_json.cpp
@@ -1,5 +1,6 @@
 // Tests of the conversion between the store's JSON and the gateway's types.
 #include "platform/object_json.hpp"
+#include "platform/store_response.hpp"
 #include "routing/route_table.hpp"
 
 #include <doctest/doctest.h>
@@ -135,7 +136,7 @@
         R"({"items":[{"metadata":{"name":"desk","revision":9,"createRevision":4},)"
         R"("spec":{"service":"desk","to":"v2","periodS":12},)"
         R"("status":{"state":"reverted","to":"v2"}}],"storeRevision":12})",
-        platform::object_part::whole);
+        {platform::object_part::whole});
     const auto& page = std::get<discovery::feed_page>(listed);
     REQUIRE(page.objects.size() == 1);
     kernel::error reason;
--- a/review/1/case.py
+++ b/tests/process/test_unreadable_entries.py
@@ -1,12 +1,19 @@
-"""Another writer's entry that can't be read stands among the workers' entries. Then a worker drains and leaves:
-do the gateways still learn of it?"""
+#!/usr/bin/env python3
+"""Guards against DRAIN, LOST and RECOVER: an entry of another writer that cannot be read stops the feed of the targets.
+
+Such entries stand among those of the workers: too deeply nested, with a number that is too large, with bytes that are no
+text, with a port out of range, too large. A worker drains and leaves; then all gateways are restarted.
+"""
 
 import asyncio
 import os
 import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "tests", "process"))
+sys.dont_write_bytecode = True
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+os.environ["GATEWAY"] = os.path.abspath(os.path.join(sys.argv[1], "samphirespool-gateway"))
+os.environ.setdefault("RECORD", os.devnull)
 
 from standins import site as sites  # noqa: E402
 
@@ -16,15 +23,21 @@
 SERVICE = {"name": "desk", "healthPath": "/health", "maxConnections": 100}
 # The worker serves for drainMs after its entry says `draining`, and a little longer.
 LONGER_SECONDS = 3
-RECOVER_SECONDS = 12
+RECOVER_SECONDS = 5
+# Of the requests after the restart; none of them meets a disruption.
+SERVED_SHARE = 0.9
 
 ENTRY = b'{"service":"%s","address":"127.0.0.1:9","zone":"zone-a","version":"1","slots":6,"state":"ready",' \
         b'"coldRemainingMs":0,"sequence":1,"born":1}'
+SOUND = ENTRY % b"desk"
 UNREADABLE = {
     # A text whose bytes are no characters.
     "bytes": ENTRY % b"\xff\xfe\x80desk",
     "surrogate": ENTRY % b"\\udcff",
-    "number": (ENTRY % b"desk").replace(b'"slots":6', b'"slots":' + b"9" * 40),
+    "number": SOUND.replace(b'"slots":6', b'"slots":' + b"9" * 40),
+    "depth": SOUND.replace(b'"slots":6', b'"slots":6,"x":' + b"[" * 50000 + b"]" * 50000),
+    "port": SOUND.replace(b":9\"", b":70009\""),
+    "size": SOUND.replace(b'"slots":6', b'"slots":6,"x":"' + b"a" * 900000 + b'"'),
 }
 
 
@@ -50,7 +63,8 @@
 
     await traffic(4)
     if site.trouble:
-        await site.store.put("servers", "other-1", UNREADABLE[os.environ.get("ENTRY", "surrogate")])
+        for name, content in UNREADABLE.items():
+            await site.store.put("servers", f"other-{name}", content)
     await traffic(4)
     leaving = site.workers[0]
     leaving.state = "draining"
@@ -67,7 +81,6 @@
     verdict = (f"DRAIN: {len(late)} requests reached the draining worker later than {site.bounds['drainMs']} ms after "
                f"the store's acknowledgement, {len(lost)} bookings among them were lost when it left; {served} of "
                f"{len(answers)} requests served")
-    # Beside the rule, for the record: what a restart of the whole system then comes to.
     for gateway in gateways:
         gateway.signal(9)
         gateway.process.wait()
@@ -82,7 +95,8 @@
                 f"gateways, ready: {[await g.is_ready() for g in gateways]}")
     if not served:
         return sites.COULD_NOT_RUN, verdict
-    return (sites.BROKEN if late else sites.HELD), verdict
+    holds = not late and again >= SERVED_SHARE * len(answers) and all(g.starts == 2 for g in gateways)
+    return (sites.HELD if holds else sites.BROKEN), verdict
 
 
 sites.run(case, __file__)
