--- a/src/exchange/exchange_node.cpp
+++ b/src/exchange/exchange_node.cpp
@@ -292,6 +292,7 @@
         this->add_stream_origins(message, false);
         if (message.wants_updates)
             this->add_rollouts(message, this->upstream->name);
+        this->add_configuration(message, group.front().name);
         this->link.send(group.front().address, message);
         if (this->is_suspected(group.front().name) && group.size() > 1)
             this->link.send(group[1].address, message);
@@ -318,6 +319,7 @@
     this->add_stream_origins(message, this->hub_with_streams != this->hub->name);
     this->hub_with_streams = this->hub->name;
     this->add_rollouts(message, this->hub->name);
+    this->add_configuration(message, this->hub->name);
     this->link.send(this->hub->address, message);
 }
 
--- a/src/exchange/exchange_node.hpp
+++ b/src/exchange/exchange_node.hpp
@@ -9,6 +9,7 @@
 #include "discovery/feed_watch.hpp"
 #include "discovery/freshness.hpp"
 #include "exchange/absence_detector.hpp"
+#include "exchange/configuration_channel.hpp"
 #include "exchange/exchange_link.hpp"
 #include "exchange/feed_log.hpp"
 #include "exchange/hub_order.hpp"
@@ -21,6 +22,7 @@
 #include <array>
 #include <functional>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace samphirespool::exchange {
@@ -117,6 +119,11 @@
     // Results and directives of rollouts go with reports and replies.
     void set_rollout_channel(rollout_channel& channel) { this->rollouts = &channel; }
 
+    // Versions of the configuration go with reports and replies.
+    void set_configuration_channel(configuration_channel& channel) {
+        this->configurations = &channel;
+    }
+
     // The handler is called on the hub, with the name of a member that has stopped for good.
     void on_member_absent(std::function<void(const std::string& name)> handler) {
         this->absent_handler = std::move(handler);
@@ -192,6 +199,11 @@
     helpers::duration report_interval() const;
     bool consume_update_budget(const feed_difference& difference, helpers::time_point now);
     void suspect(const std::string& name, helpers::time_point now);
+    // Gives the receiver the configuration in force, if it has asked for it.
+    void add_configuration(report& message, const std::string& receiver);
+    // Gives the sender of the report the configuration in force, or asks for its later one.
+    void add_configuration(reply& result, const report& message, helpers::time_point now);
+    void receive_configuration(const std::string& content) const;
     bool is_suspected(const std::string& name) const;
     bool is_outdated(const std::string& name) const;
     void start_round();
@@ -217,6 +229,11 @@
     stream_origins* origins = nullptr;
     // Null if rollouts are not active.
     rollout_channel* rollouts = nullptr;
+    // Null if versions are not shared.
+    configuration_channel* configurations = nullptr;
+    // The gateways that have asked for this one's configuration.
+    std::set<std::string> askers;
+    helpers::time_point next_question_at{};
     // The gateway that has this gateway's results of rollouts.
     std::string receiver_with_rows;
     // The hub that has this gateway's streams.
--- a/src/exchange/exchange_node_messages.cpp
+++ b/src/exchange/exchange_node_messages.cpp
@@ -26,9 +26,44 @@
         message.limits = this->own_limits();
     if (this->own_speeds)
         message.speeds = this->own_speeds();
+    if (this->configurations != nullptr)
+        message.configuration_version = this->configurations->version_in_force();
     return message;
 }
 
+void exchange_node::add_configuration(report& message, const std::string& receiver) {
+    if (this->configurations != nullptr && this->askers.erase(receiver) != 0)
+        message.configuration = this->configurations->content_in_force();
+}
+
+// What the feed brings to a receiver that has not read so far is left to it.
+void exchange_node::add_configuration(reply& result, const report& message,
+                                      helpers::time_point now) {
+    if (this->configurations == nullptr || message.configuration_version == 0)
+        return;
+    const auto own = this->configurations->version_in_force();
+    if (message.configuration_version > own) {
+        result.wants_configuration = now >= this->next_question_at;
+        if (result.wants_configuration)
+            this->next_question_at = now + this->timing.reply_timeout;
+        return;
+    }
+    constexpr auto index = static_cast<std::size_t>(discovery::collection::configuration);
+    const discovery::source_position known{message.era, message.revisions.at(index)};
+    const auto content = this->configurations->content_in_force();
+    const auto size = static_cast<double>(content.size());
+    if (message.configuration_version == own || known < this->feeds.at(index)->position() ||
+        content.size() > configuration_channel::max_content || size > this->update_budget_bytes)
+        return;
+    this->update_budget_bytes -= size;
+    result.configuration = content;
+}
+
+void exchange_node::receive_configuration(const std::string& content) const {
+    if (this->configurations != nullptr && !content.empty())
+        this->configurations->offer(content);
+}
+
 void exchange_node::merge_evidence(const admission::crash_evidence_list& received) const {
     if (!received.empty() && this->evidence_handler)
         this->evidence_handler(received);
@@ -114,6 +149,7 @@
     this->merge_speeds(message.speeds);
     if (this->origins != nullptr)
         this->origins->merge(message.origins, !message.for_group, now);
+    this->receive_configuration(message.configuration);
     const auto* sender = this->find_member(from);
     const auto name = sender != nullptr ? sender->name : helpers::to_string(from);
     const auto data_centre = sender != nullptr ? sender->data_centre : std::string();
@@ -156,6 +192,7 @@
     }
     if (message.wants_updates)
         result.feeds = this->make_updates(message, now);
+    this->add_configuration(result, message, now);
     return result;
 }
 
@@ -199,6 +236,10 @@
     if (sender == nullptr)
         return;
     this->suspicions.erase(sender->name);
+    this->receive_configuration(message.configuration);
+    if (message.wants_configuration && this->configurations != nullptr &&
+        this->configurations->content_in_force().size() <= configuration_channel::max_content)
+        this->askers.insert(sender->name);
     this->merge_evidence(message.evidence);
     this->merge_limits(message.limits);
     this->merge_speeds(message.speeds);
--- a/src/exchange/message.hpp
+++ b/src/exchange/message.hpp
@@ -105,6 +105,10 @@
     std::vector<std::uint64_t> wanted_services;
     rollout_row_list rollout_rows;
     rollout_directive_list rollout_directives;
+    // See configuration_channel; 0 in reports of earlier releases.
+    std::uint64_t configuration_version = 0;
+    // Set if the receiver has asked for it.
+    std::string configuration;
 };
 
 // Changes of one feed since the revision that a report stated.
@@ -132,6 +136,10 @@
     admission::target_speed_list speeds;
     stream_origin_list origins;
     rollout_directive_list rollout_directives;
+    // Set if it is later than the receiver's, and no feed update brings it.
+    std::string configuration;
+    // The receiver has a later one than the sender.
+    bool wants_configuration = false;
 };
 
 } // namespace samphirespool::exchange
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -253,35 +253,55 @@
         this->services.loop.schedule(expiry_interval, [this] { this->expire_missing_targets(); });
 }
 
-void fleet_state::apply_configuration(const discovery::feed_object& object) {
+void fleet_state::offer(std::string_view content) {
+    this->apply_configuration(content, "peer");
+}
+
+void fleet_state::apply_configuration(std::string_view content, std::string_view source) {
     kernel::error reason;
-    auto read = this->services.codec.read_configuration(object.content, reason);
+    auto read = this->services.codec.read_configuration(content, reason);
     if (!read) {
         this->services.events.write(kernel::severity::error, "configuration.rejected", std::nullopt,
-                                    {{"object", object.name}, {"reason", reason.detail}});
+                                    {{"source", std::string(source)}, {"reason", reason.detail}});
         return;
     }
     const auto version = read->version;
-    if (this->current_table != nullptr && version <= this->current_table->values().version)
+    if (this->current_table != nullptr && version <= this->current_table->values().version) {
+        if (version < this->current_table->values().version)
+            this->services.events.write(kernel::severity::warning, "configuration.ignored",
+                                        std::nullopt,
+                                        {{"version", version},
+                                         {"in_force", this->current_table->values().version},
+                                         {"source", std::string(source)}});
         return;
+    }
+    this->current_content = content;
     this->current_table = std::make_shared<const routing::route_table>(std::move(*read));
     this->dispatch.set_table(this->current_table);
     this->services.events.write(
         kernel::severity::info, "configuration.adopted", std::nullopt,
         {{"version", version},
-         {"routes", std::uint64_t{this->current_table->values().routes.size()}}});
+         {"routes", std::uint64_t{this->current_table->values().routes.size()}},
+         {"source", std::string(source)},
+         {"era", this->configuration_feed.position().era},
+         {"revision", this->configuration_feed.position().revision}});
 }
 
 void fleet_state::configuration_receiver::replace(
     const std::vector<discovery::feed_object>& objects) {
-    this->change(objects);
+    this->apply(objects, "list");
 }
 
 void fleet_state::configuration_receiver::change(std::span<const discovery::feed_object> objects) {
+    this->apply(objects, "change");
+}
+
+void fleet_state::configuration_receiver::apply(std::span<const discovery::feed_object> objects,
+                                                std::string_view source) {
     for (const auto& object : objects)
         // If the configuration object is removed, the last valid configuration stays in force.
         if (object.name == main_configuration && !object.is_removed)
-            this->state.apply_configuration(object);
+            this->state.apply_configuration(object.content, source);
 }
 
 void fleet_state::target_receiver::replace(const std::vector<discovery::feed_object>& objects) {
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -7,6 +7,7 @@
 #include "discovery/feed_watch.hpp"
 #include "discovery/freshness.hpp"
 #include "discovery/target_catalog.hpp"
+#include "exchange/configuration_channel.hpp"
 #include "exchange/exchange_node.hpp"
 #include "gateway/dispatcher.hpp"
 #include "gateway/object_codec.hpp"
@@ -25,12 +26,12 @@
     const object_codec& codec;
 };
 
-class fleet_state {
+class fleet_state final : public exchange::configuration_channel {
 public:
     fleet_state(const fleet_state_services& services, discovery::target_catalog& catalog,
                 dispatcher& dispatch, exchange::member self,
                 const discovery::freshness_limits& limits, bool follows_rollouts = false);
-    ~fleet_state();
+    ~fleet_state() override;
     fleet_state(const fleet_state&) = delete;
     fleet_state& operator=(const fleet_state&) = delete;
 
@@ -39,6 +40,13 @@
     // Null until the first configuration was read. The version never decreases.
     const std::shared_ptr<const routing::route_table>& table() const { return this->current_table; }
 
+    // For the exchange with other gateways.
+    std::uint64_t version_in_force() const override {
+        return this->current_table == nullptr ? 0 : this->current_table->values().version;
+    }
+    std::string_view content_in_force() const override { return this->current_content; }
+    void offer(std::string_view content) override;
+
     // The configuration, the targets and the drained data centres were read at least once, so that
     // requests can be served.
     bool is_initialized() const;
@@ -91,6 +99,8 @@
         void change(std::span<const discovery::feed_object> objects) override;
 
     private:
+        void apply(std::span<const discovery::feed_object> objects, std::string_view source);
+
         fleet_state& state;
     };
 
@@ -139,7 +149,8 @@
         contents objects;
     };
 
-    void apply_configuration(const discovery::feed_object& object);
+    // `source` says for the log how this gateway has learned of the configuration.
+    void apply_configuration(std::string_view content, std::string_view source);
     void set_members(const collection_receiver::contents& objects);
     void publish_members();
     void register_self(bool entry_exists);
@@ -152,6 +163,8 @@
     dispatcher& dispatch;
     exchange::member self;
     std::shared_ptr<const routing::route_table> current_table;
+    // From which it was made.
+    std::string current_content;
     configuration_receiver configurations;
     target_receiver targets;
     drained_receiver drained_data_centres;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -172,6 +172,7 @@
     this->load_exchange.set_evidence_source([this] { return this->crashes.evidence(); });
     this->load_exchange.on_evidence(
         [this](const auto& received) { this->crashes.merge(received); });
+    this->load_exchange.set_configuration_channel(this->fleet);
     this->load_exchange.set_stream_origins(this->stream_origins);
     this->stream_origins.set_archive(&this->archive);
     this->stream_origins.on_recorded([this] {
--- a/src/wire/exchange_codec.cpp
+++ b/src/wire/exchange_codec.cpp
@@ -43,6 +43,16 @@
     return result;
 }
 
+// Empty text is not written.
+flatbuffers::Offset<flatbuffers::String> write_text(flatbuffers::FlatBufferBuilder& builder,
+                                                    const std::string& text) {
+    return text.empty() ? 0 : builder.CreateString(text);
+}
+
+std::string read_text(const flatbuffers::String* text) {
+    return text == nullptr ? std::string() : text->str();
+}
+
 using wire_counts = flatbuffers::Vector<const fb::target_count*>;
 
 exchange::target_counts from_wire(const wire_counts* counts) {
@@ -244,10 +254,12 @@
     const auto services_at = builder.CreateVector(content.wanted_services);
     const auto rows_at = write_rows(builder, content.rollout_rows);
     const auto directives_at = write_directives(builder, content.rollout_directives);
+    const auto configuration_at = write_text(builder, content.configuration);
     const auto report = fb::Createexchange_report(
         builder, content.round, content.for_group, revisions_at, loads_at, !content.wants_updates,
         evidence_at, later_at, limits_at, origins_at, wanted_at,
-        static_cast<std::uint32_t>(content.era), services_at, rows_at, directives_at, speeds_at);
+        static_cast<std::uint32_t>(content.era), services_at, rows_at, directives_at, speeds_at,
+        content.configuration_version, configuration_at);
     builder.Finish(fb::Createexchange_message(builder, report));
 }
 
@@ -262,9 +274,11 @@
     const auto origins_at = builder.CreateVectorOfStructs(to_wire(content.origins));
     const auto directives_at = write_directives(builder, content.rollout_directives);
     const auto speeds_at = builder.CreateVectorOfStructs(to_wire(content.speeds));
-    const auto reply = fb::Createexchange_answer(
-        builder, content.round, feeds_at, loads_at, content.max_unlisted_in_flight, evidence_at,
-        limits_at, origins_at, 0, directives_at, speeds_at);
+    const auto configuration_at = write_text(builder, content.configuration);
+    const auto reply = fb::Createexchange_answer(builder, content.round, feeds_at, loads_at,
+                                                 content.max_unlisted_in_flight, evidence_at,
+                                                 limits_at, origins_at, 0, directives_at, speeds_at,
+                                                 configuration_at, content.wants_configuration);
     builder.Finish(fb::Createexchange_message(builder, 0, reply));
 }
 
@@ -319,6 +333,8 @@
                                       from.wanted_services()->end());
     result.rollout_rows = read_rows(from.rollout_rows());
     result.rollout_directives = read_directives(from.rollout_directives());
+    result.configuration_version = from.configuration_version();
+    result.configuration = read_text(from.configuration());
     return result;
 }
 
@@ -332,6 +348,8 @@
     result.speeds = from_wire(from.speeds());
     result.origins = from_wire(from.origins());
     result.rollout_directives = read_directives(from.rollout_directives());
+    result.configuration = read_text(from.configuration());
+    result.wants_configuration = from.wants_configuration();
     if (from.feeds() == nullptr)
         return result;
     // A later release may have feeds that are unknown here.
--- a/tests/exchange/test_exchange_parts.cpp
+++ b/tests/exchange/test_exchange_parts.cpp
@@ -167,6 +167,8 @@
     report.origins = {{0x5eed, 7}, {1, 2}};
     report.wanted_origins = {3, 0xffffffffffffffff};
     report.wanted_services = {0, 0xfffffffffffffffe};
+    report.configuration_version = 12;
+    report.configuration = R"({"version":12})";
     const auto encoded = wire::encode_exchange(report);
     const auto decoded_message = wire::decode_exchange(encoded);
     REQUIRE(decoded_message);
@@ -181,6 +183,8 @@
     CHECK(decoded.origins == report.origins);
     CHECK(decoded.wanted_origins == report.wanted_origins);
     CHECK(decoded.wanted_services == report.wanted_services);
+    CHECK(decoded.configuration_version == 12);
+    CHECK(decoded.configuration == report.configuration);
     REQUIRE(decoded.loads.size() == 2);
     CHECK(decoded.loads[0] == report.loads[0]);
     CHECK(decoded.loads[1].in_flight == 65'535);
@@ -189,6 +193,8 @@
     sent_reply.round = 9;
     sent_reply.max_unlisted_in_flight = 3;
     sent_reply.origins = {{0x5eed, 0}};
+    sent_reply.configuration = R"({"version":13})";
+    sent_reply.wants_configuration = true;
     sent_reply.feeds.push_back({discovery::collection::members,
                                 250ms,
                                 {3, 77},
@@ -203,6 +209,8 @@
     REQUIRE(decoded_reply);
     CHECK(std::get<exchange::reply>(*decoded_reply).max_unlisted_in_flight == 3);
     CHECK(std::get<exchange::reply>(*decoded_reply).origins == sent_reply.origins);
+    CHECK(std::get<exchange::reply>(*decoded_reply).configuration == sent_reply.configuration);
+    CHECK(std::get<exchange::reply>(*decoded_reply).wants_configuration);
     const auto& update = std::get<exchange::reply>(*decoded_reply).feeds.front();
     CHECK(update.collection == discovery::collection::members);
     CHECK(update.age == 250ms);
--- a/tests/exchange/test_restored_store.cpp
+++ b/tests/exchange/test_restored_store.cpp
@@ -60,6 +60,7 @@
           node(loop, events, link, fleet.feeds(), fleet.gate(), self.name, timing()),
           started_at(loop.time().now()) {
         network.links[self.address] = &this->link;
+        this->node.set_configuration_channel(this->fleet);
         this->node.set_own_counts_source([] { return exchange::target_counts(); });
         this->fleet.on_members_changed(
             [this](const auto& members) { this->node.set_members(members); });
@@ -311,6 +312,28 @@
     }
 }
 
+// Guards against CONFIG: a gateway that starts after the return takes the copy's older version,
+// which the operator has not written again yet, although other gateways know the later one.
+TEST_CASE("restored store: a gateway that starts after the return learns the latest version") {
+    for (const int count : {2, 9, 64, 300})
+        for (const std::size_t restarted : {std::size_t{0}, std::size_t{1}}) {
+            CAPTURE(count);
+            CAPTURE(restarted);
+            fleet gateways(count, count > 20 ? 3 : 1);
+            const auto copy = gateways.store.copy();
+            gateways.operators.configure();
+            gateways.run_for(3s);
+            gateways.restore(copy);
+            gateways.run_for(300ms);
+            // The first one is a hub.
+            gateways.restart(restarted);
+            gateways.run_for(9s);
+            gateways.operators.write_again();
+            gateways.run_for(3s);
+            gateways.require_sound();
+        }
+}
+
 // Guards against DRAIN: the copy still calls a target ready that has said that it leaves.
 TEST_CASE("restored store: targets that were leaving or gone get nothing more") {
     for (const auto rewrite_after : {300ms, 3000ms}) {
