--- a/src/admission/quiet_times.hpp
+++ b/src/admission/quiet_times.hpp
@@ -17,8 +17,9 @@
 
 class quiet_times {
 public:
-    // By the serial of the target's incarnation.
-    using target_id = std::uint64_t;
+    // By the hash of the target's incarnation, which its entry keeps when it is removed and
+    // returns.
+    using target_id = std::uint32_t;
 
     // Longer than any time that a target in service asks for.
     static constexpr helpers::duration max_time = std::chrono::minutes(1);
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -117,8 +117,8 @@
     if (load.is_ejected(now) || (load.is_suspected(now) && !with_suspected))
         return false;
     if (!this->limits.may_send(target.incarnation_hash, now) ||
-        !this->quiet.may_send(target.serial, std::max(default_slots, target.registration.slots),
-                              now) ||
+        !this->quiet.may_send(target.incarnation_hash,
+                              std::max(default_slots, target.registration.slots), now) ||
         !this->has_room(target, now))
         return false;
     if (now >= target.cold_until)
@@ -210,7 +210,7 @@
     assigned.sent_at = now;
     this->load_of(*assigned.target).on_sent(assigned.prompt_tokens, now);
     this->limits.on_sent(assigned.target->incarnation_hash, now);
-    this->quiet.on_sent(assigned.target->serial, now);
+    this->quiet.on_sent(assigned.target->incarnation_hash, now);
     this->brittle.on_sent(request.service, now);
     ++this->state_of(request.service).recent_assignments.current(now);
     request.on_assigned(std::move(assigned));
@@ -280,7 +280,7 @@
 
 void dispatcher::on_quiet(const assignment& attempt, helpers::duration time) {
     const auto& target = *attempt.target;
-    this->quiet.on_rejection(target.serial, time, this->loop.time().now());
+    this->quiet.on_rejection(target.incarnation_hash, time, this->loop.time().now());
     this->events.write(
         kernel::severity::warning, "target.quiet", std::nullopt,
         {{"target", target.registration.name}, {"for_ms", helpers::whole_milliseconds(time)}});
@@ -292,7 +292,7 @@
     for (const auto& each : this->catalog.targets_of(service)) {
         if (!this->catalog.is_eligible(*each))
             continue;
-        const auto left = this->quiet.time_left(each->serial, now);
+        const auto left = this->quiet.time_left(each->incarnation_hash, now);
         if (left == helpers::duration::zero())
             return std::nullopt;
         shortest = std::min(shortest.value_or(left), left);
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -131,7 +131,7 @@
     // The target has rejected the request and asks to be sent nothing for a time.
     void on_quiet(const assignment& attempt, helpers::duration time);
     bool is_quiet(const discovery::tracked_target& target) const {
-        return this->quiet.is_quiet(target.serial, this->loop.time().now());
+        return this->quiet.is_quiet(target.incarnation_hash, this->loop.time().now());
     }
     // If all targets of the service that take work have asked for quiet: the time until the first
     // of them serves again.
--- a/tests/gateway/test_quiet_targets.cpp
+++ b/tests/gateway/test_quiet_targets.cpp
@@ -46,6 +46,35 @@
     CHECK(count_requests(gateway, name, 2s) > 0);
 }
 
+// Guards against BUDGET: the time ends when the target's entry lapses and is written again,
+// although it is the same process.
+TEST_CASE(
+    "quiet targets: the time holds while the entry of the target is away and after its return") {
+    gateway_harness gateway;
+    gateway.send("/look/1");
+    const auto name = reject(gateway, "25");
+    gateway.last_call().respond(200, "ok");
+    const auto registration = gateway.catalog.find(name)->registration;
+    gateway.catalog.remove(name, gateway.loop.time().now());
+    gateway.advance(1400ms);
+    gateway.catalog.update(registration, gateway.loop.time().now());
+    CHECK(count_requests(gateway, name, 23s) == 0);
+    gateway.advance(600ms);
+    CHECK(count_requests(gateway, name, 2s) > 0);
+}
+
+// Another start is another process, which has asked for nothing.
+TEST_CASE("quiet targets: the time does not hold for a later incarnation of the target") {
+    gateway_harness gateway;
+    gateway.send("/look/1");
+    const auto name = reject(gateway, "25");
+    gateway.last_call().respond(200, "ok");
+    auto registration = gateway.catalog.find(name)->registration;
+    ++registration.started_at;
+    gateway.catalog.update(registration, gateway.loop.time().now());
+    CHECK(count_requests(gateway, name, 2s) > 0);
+}
+
 // Guards against BUDGET: a request that waits for its connection is sent all the same.
 TEST_CASE("quiet targets: a request that is about to be sent goes to another target") {
     gateway_harness gateway(1);
