--- a/src/admission/quiet_times.hpp
+++ b/src/admission/quiet_times.hpp
@@ -21,8 +21,8 @@
     // returns.
     using target_id = std::uint32_t;
 
-    // Longer than any time that a target in service asks for.
-    static constexpr helpers::duration max_time = std::chrono::minutes(1);
+    // A longer time is taken for an error.
+    static constexpr helpers::duration max_time = std::chrono::hours(1);
     // After the end of the time the requests that are allowed grow for this long.
     static constexpr helpers::duration return_time = std::chrono::seconds(1);
 
