--- a/src/admission/brittle_services.cpp
+++ b/src/admission/brittle_services.cpp
@@ -57,7 +57,9 @@
 }
 
 std::uint32_t brittle_services::part_of(std::string_view target, std::uint32_t slots) const {
-    const auto count = static_cast<std::uint32_t>(std::max<std::size_t>(1, this->members.size()));
+    const auto count = static_cast<std::uint32_t>(this->members.size());
+    if (count == 0)
+        return 0;
     const auto rank = rank_among(this->members, this->self, target);
     return slots / count + (rank < slots % count ? 1 : 0);
 }
--- a/src/admission/brittle_services.hpp
+++ b/src/admission/brittle_services.hpp
@@ -28,7 +28,7 @@
 
     explicit brittle_services(std::string self) : self(std::move(self)) {}
 
-    // Names of all gateways.
+    // Names of all gateways. Until the first call this gateway has no slots of its own.
     void set_members(std::vector<std::string> names) { this->members = std::move(names); }
 
     // A target of the service has responded; `limit` is empty if it does not say that it is
--- a/src/admission/fleet_share.cpp
+++ b/src/admission/fleet_share.cpp
@@ -28,7 +28,9 @@
     const auto limit = std::max(
         1.0, std::floor((rate * this->limits.overage + this->limits.slack) * divided_fraction));
     const auto total = static_cast<std::size_t>(limit);
-    const auto count = std::max<std::size_t>(1, this->members.size());
+    const auto count = this->members.size();
+    if (count == 0)
+        return 0;
     if (count <= total)
         return total / count;
     return rank_among(this->members, this->self, target) < total ? 1 : 0;
@@ -37,6 +39,8 @@
 bool cold_target_share::may_send(std::string_view target, double rate,
                                  const std::deque<helpers::time_point>& sent,
                                  helpers::time_point now) const {
+    if (now - this->started_at < window)
+        return false;
     const auto recent = std::count_if(sent.begin(), sent.end(),
                                       [now](helpers::time_point at) { return now - at < window; });
     return static_cast<std::size_t>(recent) < this->share_of(target, rate);
--- a/src/admission/fleet_share.hpp
+++ b/src/admission/fleet_share.hpp
@@ -21,13 +21,15 @@
 
 class cold_target_share {
 public:
-    cold_target_share(std::string self, const cold_limits& limits)
-        : self(std::move(self)), limits(limits) {}
+    cold_target_share(std::string self, const cold_limits& limits, helpers::time_point started_at)
+        : self(std::move(self)), limits(limits), started_at(started_at) {}
 
-    // Names of all gateways; this one is added if it is missing.
+    // Names of all gateways; this one is added if it is missing. Until the first call there is no
+    // share.
     void set_members(std::vector<std::string> names);
 
-    // Returns whether this gateway may send a request to the cold target now. `rate` is the
+    // Returns whether this gateway may send a request to the cold target now; not within the first
+    // window after its start, since the process before it may have sent some. `rate` is the
     // service's limit in requests per second; `sent` holds the times of this gateway's sends to the
     // target.
     bool may_send(std::string_view target, double rate, const std::deque<helpers::time_point>& sent,
@@ -41,7 +43,8 @@
 
     std::string self;
     cold_limits limits;
-    // Includes this process.
+    helpers::time_point started_at;
+    // Includes this process, unless it is empty.
     std::vector<std::string> members;
 };
 
--- a/src/admission/target_limits.cpp
+++ b/src/admission/target_limits.cpp
@@ -101,7 +101,9 @@
 
 // An equal part for each gateway; those that rank first for the target get what remains, one each.
 std::size_t target_limits::share_of(std::uint32_t target, std::size_t total) const {
-    const auto count = std::max<std::size_t>(1, this->members.size());
+    const auto count = this->members.size();
+    if (count == 0)
+        return 0;
     const auto rank = rank_among(this->members, this->self, std::to_string(target));
     return total / count + (rank < total % count ? 1 : 0);
 }
--- a/src/admission/target_limits.hpp
+++ b/src/admission/target_limits.hpp
@@ -35,7 +35,8 @@
 public:
     explicit target_limits(std::string self) : self(std::move(self)) {}
 
-    // Names of all gateways; this one is added if it is missing.
+    // Names of all gateways; this one is added if it is missing. Until the first call there is no
+    // share.
     void set_members(std::vector<std::string> names);
 
     // The target has responded and named this limit, or none. Returns true if that is a change.
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -35,14 +35,10 @@
       catalog(catalog),
       settings(settings),
       budget(settings.retry_limits, loop.time().now()),
-      cold(settings.own_name, settings.cold),
+      cold(settings.own_name, settings.cold, loop.time().now()),
       limits(settings.own_name),
       brittle(settings.own_name),
-      pacing(events, settings.own_name, settings.pacing) {
-    this->cold.set_members({settings.own_name});
-    this->limits.set_members({settings.own_name});
-    this->brittle.set_members({settings.own_name});
-}
+      pacing(events, settings.own_name, settings.pacing) {}
 
 dispatcher::~dispatcher() {
     this->loop.cancel(this->timer);
