--- a/tests/admission/test_fleet_retry_budget.cpp
+++ b/tests/admission/test_fleet_retry_budget.cpp
@@ -200,12 +200,12 @@
 TEST_CASE("retry budget fleet: the sum of all shares holds over restarts, pauses, cuts and "
           "different member lists") {
     for (const std::size_t count : {9U, 64U, 300U})
-        for (const auto& [name, faults] : all_faults)
+        for (const auto& kind : all_faults)
             for (int seed = 1; seed <= seed_count(); ++seed) {
                 CAPTURE(count);
-                CAPTURE(name);
+                CAPTURE(kind.first);
                 CAPTURE(seed);
-                overloaded_fleet fleet(count, static_cast<std::uint64_t>(seed), faults);
+                overloaded_fleet fleet(count, static_cast<std::uint64_t>(seed), kind.second);
                 fleet.run_for(80s);
                 CHECK(fleet.worst_use() <= 1);
             }
--- a/tests/platform/test_store_response.cpp
+++ b/tests/platform/test_store_response.cpp
@@ -85,10 +85,10 @@
 // Guards against LOST and DRAIN: one entry of another writer that cannot be read makes the whole
 // list, or every watch, unreadable.
 TEST_CASE("store response: an odd entry in a list is set aside, and the others are read") {
-    for (const auto& [what, content] : odd_entries) {
-        CAPTURE(what);
+    for (const auto& odd : odd_entries) {
+        CAPTURE(odd.first);
         const auto page =
-            read(R"({"items":[)" + object("i-1", entry()) + "," + object("odd", content) + "," +
+            read(R"({"items":[)" + object("i-1", entry()) + "," + object("odd", odd.second) + "," +
                  object("i-2", entry()) + R"(],"more":true,"storeRevision":9})");
         CHECK(page.revision == 9);
         CHECK(page.more);
@@ -99,12 +99,13 @@
 }
 
 TEST_CASE("store response: an odd entry among changes is set aside, and the others are read") {
-    for (const auto& [what, content] : odd_entries) {
-        CAPTURE(what);
-        const auto page = read(R"({"events":[{"object":)" + object("odd", content) +
-                               R"(,"removed":false},{"removed":true,"object":)" +
-                               object("i-1", content) + R"(},{"object":)" + object("i-2", entry()) +
-                               R"(,"removed":false}],"storeRevision":12})");
+    for (const auto& odd : odd_entries) {
+        CAPTURE(odd.first);
+        const auto page =
+            read(R"({"events":[{"object":)" + object("odd", odd.second) +
+                 R"(,"removed":false},{"removed":true,"object":)" + object("i-1", odd.second) +
+                 R"(},{"object":)" + object("i-2", entry()) +
+                 R"(,"removed":false}],"storeRevision":12})");
         CHECK(page.revision == 12);
         REQUIRE(page.objects.size() == 3);
         CHECK(page.objects[1].is_removed);
