--- a/src/admission/share_divisor.hpp
+++ b/src/admission/share_divisor.hpp
@@ -26,8 +26,9 @@
 
     // Longer than a follower's member list is old while the store is reachable.
     static constexpr helpers::duration lease = std::chrono::seconds(15);
-    // Time after which no share that was computed without a change of the members still counts: the
-    // lease, the longest window of a limit, and the length of a pause of a gateway.
+    // Shares that were computed from an earlier member list have ended after this time, and what
+    // was used of them is outside of every window. Consists of the lease, the longest window of a
+    // limit and the length of a pause.
     static constexpr helpers::duration settling_time = lease + std::chrono::seconds(15);
 
 private:
--- a/src/discovery/feed.hpp
+++ b/src/discovery/feed.hpp
@@ -65,9 +65,9 @@
     friend auto operator<=>(const source_position&, const source_position&) = default;
 };
 
-// An object of which the source states more than can be read.
+// An object of the source that cannot be read.
 struct unreadable_object {
-    // Empty if it cannot be read either.
+    // Empty if the name cannot be read either.
     std::string name;
     std::string reason;
 };
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -221,6 +221,7 @@
     // Returns whether another attempt is allowed; if so, it is charged to the fleet's retry budget
     // unless no attempt has reached a target yet.
     bool may_retry(attempt_outcome outcome);
+    // Charges a retry to the budget, or logs why it does not allow one.
     bool spend_retry();
     void retry();
     void finish_without_response(attempt_outcome outcome, const kernel::error& reason);
