--- a/tests/process/standins/site.py
+++ b/tests/process/standins/site.py
@@ -6,6 +6,7 @@
 import os
 import random
 import re
+import resource
 import signal
 import socket
 import subprocess
@@ -89,10 +90,15 @@
         environment = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         self.process = subprocess.Popen(
             [GATEWAY], cwd=ROOT, stdout=log, stderr=subprocess.STDOUT,
-            env={**environment, "SAMPHIRESPOOL_CONFIG": settings})
+            env={**environment, "SAMPHIRESPOOL_CONFIG": settings}, preexec_fn=self.limit_descriptors)
         log.close()
         self.site.record(self.name, "started", f"pid {self.process.pid}")
 
+    def limit_descriptors(self):
+        if self.site.descriptor_limit is not None:
+            limit = self.site.descriptor_limit
+            resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
+
     def running(self):
         return self.process is not None and self.process.poll() is None
 
@@ -156,6 +162,8 @@
         self.bounds = dict(BOUNDS)
         self.limits = {"memoryMb": 260, "linkMbps": 1000.0, "cpuShare": 0.25}
         self.max_body_bytes = 1048576
+        # Open descriptors of a gateway; None: as many as this process may have.
+        self.descriptor_limit = None
         self.config = None
         # Address of the store by the gateway's name, where a proxy stands between them.
         self.store_proxies = {}
--- a/tests/process/support/fleet_process.py
+++ b/tests/process/support/fleet_process.py
@@ -63,7 +63,8 @@
             file.write(text)
         return path
 
-    def start_router(self, number):
+    def start_router(self, number, more="", descriptor_limit=None):
+        """Starts a router with `more` lines of settings."""
         seeds = ""
         if self.routers:
             seeds = f"seeds:\n  - 127.0.0.1:{self.routers[0].ready['peer_port']}\n"
@@ -74,9 +75,9 @@
                     f"fleet_keys:\n  - {'00' * 32}\n{seeds}"
                     f"admin_tokens:\n  - name: test\n    token_hash: {sha256(TOKEN)}\n"
                     f"    role: operator\nlog_file: {self.folder}/r{number}.log\n"
-                    f"seed: {number + 1}\n")
+                    f"seed: {number + 1}\n{more}")
         self.routers.append(Process(self.stack, f"{self.build}/samphirespool-router", "--config",
-                                    self.write(f"r{number}.yaml", settings)))
+                                    self.write(f"r{number}.yaml", settings), descriptor_limit=descriptor_limit))
 
     def ctl(self, *words, router=0):
         done = subprocess.run(
--- a/tests/process/support/router_process.py
+++ b/tests/process/support/router_process.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -18,8 +19,12 @@
 class Process:
     """A program that prints one JSON line once it is ready."""
 
-    def __init__(self, stack, *command):
-        self.child = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    def __init__(self, stack, *command, descriptor_limit=None):
+        def limit_descriptors():
+            if descriptor_limit is not None:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (descriptor_limit, descriptor_limit))
+
+        self.child = subprocess.Popen(command, stdout=subprocess.PIPE, text=True, preexec_fn=limit_descriptors)
         stack.callback(self.end)
         self.ready = json.loads(self.child.stdout.readline())
 
@@ -49,7 +54,7 @@
         return json.load(response)
 
 
-def start_router(stack, build, targets, **settings):
+def start_router(stack, build, targets, descriptor_limit=None, **settings):
     """Starts a router with the given targets, each (service, port), and without a store."""
     folder = stack.enter_context(tempfile.TemporaryDirectory())
     values = {"name": "r1", "data_centre": "a", "region": "r", "caller_listen": "127.0.0.1:0",
@@ -79,7 +84,7 @@
     return Process(stack, f"{build}/samphirespool-router",
                    "--config", os.path.join(folder, "router.yaml"),
                    "--configuration", os.path.join(folder, "fleet.json"),
-                   "--vms", os.path.join(folder, "vms.json"))
+                   "--vms", os.path.join(folder, "vms.json"), descriptor_limit=descriptor_limit)
 
 
 def start_engine(stack, build, *options):
