Peers: frames of a peer that is not known yet have 4 KiB at most

Callers saw a gateway or router end for want of memory although only its peer port was reached: a connection could announce a frame of 1 MiB before it had shown the fleet's key, and each one held that much for up to five seconds; and connections that sent nothing kept all others out.

Cause: the limit of a frame did not depend on whether its sender was known, and a connection above the limit of connections was closed although others had never said who they are.

Until the hello frame a frame has 4 KiB at most. Above the limit of connections the oldest one without a hello makes room; it is counted in samphirespool_peer_replaced_total.

--- a/src/admin/metric_sources.cpp
+++ b/src/admin/metric_sources.cpp
@@ -70,6 +70,10 @@
     metrics.watch_counter(
         {"samphirespool_peer_accepts_total", "Connections accepted from routers."},
         [source] { return source->accepts; });
+    metrics.watch_counter(
+        {"samphirespool_peer_replaced_total",
+         "Accepted connections that were closed for others before their peers were known."},
+        [source] { return source->replaced; });
 }
 
 void register_process_metrics(debug::metrics& metrics) {
--- a/src/wire/frame_codec.cpp
+++ b/src/wire/frame_codec.cpp
@@ -176,9 +176,9 @@
         const auto rest = input.subspan(consumed);
         const auto total =
             length_bytes + std::size_t{read_little_endian<std::uint32_t>(rest.data())};
-        if (total > max_frame_bytes || total < header_bytes) {
+        if (total > this->max_bytes || total < header_bytes) {
             this->boundary_lost = true;
-            this->on_fault(total > max_frame_bytes ? frame_fault::oversized : frame_fault::garbage);
+            this->on_fault(total > this->max_bytes ? frame_fault::oversized : frame_fault::garbage);
             break;
         }
         if (rest.size() < total)
--- a/src/wire/frame_codec.hpp
+++ b/src/wire/frame_codec.hpp
@@ -120,6 +120,8 @@
     // consumed. After a malformed length the next frame cannot be found: has_lost_boundary() is
     // true and nothing more is decoded.
     std::size_t consume(std::span<const std::uint8_t> input);
+    // Longer frames are not accepted.
+    void limit_frames(std::size_t bytes) { this->max_bytes = bytes; }
     // Counts a truncated frame if the connection was closed with unread bytes.
     void on_connection_closed(std::size_t unread);
     bool has_lost_boundary() const { return this->boundary_lost; }
@@ -133,6 +135,7 @@
     frame_handler on_frame;
     fault_handler on_fault;
     std::uint32_t last_sequence = 0;
+    std::size_t max_bytes = max_frame_bytes;
     bool boundary_lost = false;
 };
 
--- a/src/wire/inbound_connection.cpp
+++ b/src/wire/inbound_connection.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr auto hello_timeout = std::chrono::seconds(5);
+// Of the first frame, before which the peer is not known.
+constexpr std::size_t max_hello_bytes = 4096;
 
 challenge make_challenge() {
     challenge result{};
@@ -25,6 +27,7 @@
     : context(context),
       socket(socket),
       listener(listener),
+      opened(context.loop.time().now()),
       session_challenge(make_challenge()),
       decoder(
           context.signer, this->session_challenge, context.self,
@@ -32,6 +35,7 @@
           [this](frame_fault fault) {
               ++this->context.counters.faults[static_cast<std::size_t>(fault)];
           }) {
+    this->decoder.limit_frames(max_hello_bytes);
     this->socket->data = this;
     h2o_iovec_t buffer = {reinterpret_cast<char*>(this->session_challenge.data()),
                           this->session_challenge.size()};
@@ -100,6 +104,7 @@
         return;
     }
     this->peer_address = address;
+    this->decoder.limit_frames(max_frame_bytes);
     this->context.loop.cancel(this->hello_timer);
     this->hello_timer = 0;
     this->listener.on_hello(*address);
--- a/src/wire/inbound_connection.hpp
+++ b/src/wire/inbound_connection.hpp
@@ -23,6 +23,10 @@
     inbound_connection(const inbound_connection&) = delete;
     inbound_connection& operator=(const inbound_connection&) = delete;
 
+    // The peer has proved that it belongs to the fleet.
+    bool is_known() const { return this->peer_address.has_value(); }
+    helpers::time_point opened_at() const { return this->opened; }
+
 private:
     static void on_read(h2o_socket_t* socket, const char* error);
     static void on_written(h2o_socket_t* socket, const char* error);
@@ -35,6 +39,7 @@
     transport_context& context;
     h2o_socket_t* socket;
     const events& listener;
+    helpers::time_point opened;
     challenge session_challenge;
     frame_decoder decoder;
     // Unset until the hello frame was received; other frames before it are rejected.
--- a/src/wire/tcp_transport.cpp
+++ b/src/wire/tcp_transport.cpp
@@ -76,7 +76,7 @@
 
 void tcp_transport::accept_pending() {
     while (auto* socket = h2o_evloop_socket_accept(this->listener)) {
-        if (this->inbound.size() >= this->settings.max_inbound) {
+        if (!this->make_room()) {
             h2o_socket_close(socket);
             continue;
         }
@@ -89,6 +89,21 @@
     }
 }
 
+bool tcp_transport::make_room() {
+    if (this->inbound.size() < this->settings.max_inbound)
+        return true;
+    auto oldest = this->inbound.end();
+    for (auto each = this->inbound.begin(); each != this->inbound.end(); ++each)
+        if (!each->second->is_known() && (oldest == this->inbound.end() ||
+                                          each->second->opened_at() < oldest->second->opened_at()))
+            oldest = each;
+    if (oldest == this->inbound.end())
+        return false;
+    ++this->context.counters.replaced;
+    this->inbound.erase(oldest);
+    return true;
+}
+
 void tcp_transport::remove_unused_peers() {
     const auto since = this->context.loop.time().now() - unused_peer_timeout;
     std::erase_if(this->peers,
--- a/src/wire/tcp_transport.hpp
+++ b/src/wire/tcp_transport.hpp
@@ -23,7 +23,7 @@
     helpers::incarnation incarnation;
     // Newest first; see parse_fleet_keys().
     std::vector<bytes> keys;
-    // Accepted connections; more are closed at once.
+    // Accepted connections. A further one replaces the oldest one whose peer is not known yet.
     std::size_t max_inbound = 4096;
 };
 
@@ -52,6 +52,8 @@
 private:
     static void on_accept(h2o_socket_t* listener, const char* error);
     void accept_pending();
+    // Returns whether there is room for another accepted connection.
+    bool make_room();
     void remove_unused_peers();
 
     tcp_transport_settings settings;
--- a/src/wire/transport_context.hpp
+++ b/src/wire/transport_context.hpp
@@ -32,6 +32,8 @@
     std::uint64_t dropped = 0;
     std::uint64_t connects = 0;
     std::uint64_t accepts = 0;
+    // Accepted connections that were closed for others before their peers were known.
+    std::uint64_t replaced = 0;
 
     std::uint64_t fault(frame_fault kind) const {
         return this->faults[static_cast<std::size_t>(kind)];
