--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -2,6 +2,7 @@
 // loop.
 #include "debug/json_log.hpp"
 #include "gateway/gateway.hpp"
+#include "helpers/heap.hpp"
 #include "http/event_loop.hpp"
 #include "platform/names.hpp"
 #include "platform/object_json.hpp"
@@ -163,6 +164,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    helpers::return_large_blocks();
     command_line command;
     if (const auto code = parse(argc, argv, command))
         return *code;
--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -2,6 +2,7 @@
 // loop.
 #include "config/documents.hpp"
 #include "debug/json_log.hpp"
+#include "helpers/heap.hpp"
 #include "http/event_loop.hpp"
 #include "router/router.hpp"
 #include "router/standalone_router.hpp"
@@ -207,6 +208,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    helpers::return_large_blocks();
     command_line command;
     if (const auto code = parse(argc, argv, command))
         return *code;
--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -1,14 +1,49 @@
 // Starts the listener for operators and reloads its TLS keys.
 #include "admin/admin_server.hpp"
 
+#include "http/descriptor_shares.hpp"
+
+#include <algorithm>
+
 namespace samphirespool::admin {
 
+namespace {
+
+http::request_limits request_limits_of(const settings::router_settings& settings) {
+    http::request_limits limits;
+    limits.max_body_bytes = admin_server::max_body_bytes;
+    limits.header_timeout = settings.request_timeout;
+    limits.body_timeout = settings.request_timeout;
+    limits.body_stall_timeout = settings.request_timeout;
+    limits.idle_timeout = settings.idle_timeout;
+    return limits;
+}
+
+} // namespace
+
+admin_intake::admin_intake(const settings::router_settings& settings,
+                           const http::request_limits& limits, kernel::event_sink& events,
+                           const kernel::clock& time)
+    : http::logged_policy("admin", limits, events, time), access(settings.admin_tokens) {}
+
+http::head_decision admin_intake::judge(const http::server_request& head) const {
+    http::head_decision result;
+    if (!this->access.authenticate(head.headers)) {
+        result.refusal.emplace();
+        result.refusal->reason = {kernel::error_kind::unauthorized,
+                                  "a valid token is required: authorization: Bearer TOKEN"};
+    }
+    return result;
+}
+
 admin_server::admin_server(http::event_loop& loop, const settings::router_settings& settings,
-                           const admin_context& context)
+                           const admin_context& context, http::memory_account& memory)
     : loop(loop),
       settings(settings),
       events(context.events),
-      handler(context, settings.admin_tokens) {
+      memory(memory),
+      handler(context, settings.admin_tokens),
+      intake(settings, request_limits_of(settings), context.events, loop.time()) {
     if (settings.admin_tls)
         this->keys.emplace(settings.admin_tls->certificate_file, settings.admin_tls->key_file);
 }
@@ -17,12 +52,14 @@
     if (this->keys && !this->keys->load(reason))
         return false;
     http::server_limits limits;
-    limits.max_body_bytes = max_body_bytes;
-    limits.max_connections = max_connections;
-    limits.request_timeout = this->settings.request_timeout;
+    limits.request = this->intake.limits();
+    const auto shares = http::shares_of(http::descriptor_limit(this->settings.max_descriptors));
+    limits.max_connections = std::min(max_connections, shares.others);
+    limits.reserved_from = shares.reserved_from;
     limits.idle_timeout = this->settings.idle_timeout;
     this->server = http::h2o_server::listen(
-        this->loop, this->settings.admin_listen, limits, this->keys ? &*this->keys : nullptr,
+        {this->loop, this->intake, this->memory, this->keys ? &*this->keys : nullptr},
+        this->settings.admin_listen, limits,
         [this](std::unique_ptr<http::exchange> incoming) {
             this->handler.handle(std::move(incoming));
         },
--- a/src/admin/admin_server.hpp
+++ b/src/admin/admin_server.hpp
@@ -4,6 +4,7 @@
 #include "admin/admin_handler.hpp"
 #include "http/event_loop.hpp"
 #include "http/h2o_server.hpp"
+#include "http/logged_policy.hpp"
 #include "http/tls_keys.hpp"
 
 #include <memory>
@@ -11,11 +12,23 @@
 
 namespace samphirespool::admin {
 
+// Rejects calls without a token before their bodies are received.
+class admin_intake final : public http::logged_policy {
+public:
+    admin_intake(const settings::router_settings& settings, const http::request_limits& limits,
+                 kernel::event_sink& events, const kernel::clock& time);
+
+    http::head_decision judge(const http::server_request& head) const override;
+
+private:
+    access_control access;
+};
+
 class admin_server {
 public:
     // The settings must outlive the server.
     admin_server(http::event_loop& loop, const settings::router_settings& settings,
-                 const admin_context& context);
+                 const admin_context& context, http::memory_account& memory);
 
     // Returns false, with the reason, if the keys or the address cannot be used.
     bool listen(kernel::error& reason);
@@ -27,6 +40,8 @@
     // Responses in progress continue.
     void stop_accepting() { this->server->stop_accepting(); }
 
+    // Only after listen().
+    const http::h2o_server& listener() const { return *this->server; }
     // 0 before listen().
     std::uint16_t port() const { return this->server == nullptr ? 0 : this->server->port(); }
 
@@ -39,7 +54,9 @@
     const settings::router_settings& settings;
     kernel::event_sink& events;
     std::optional<http::tls_keys> keys;
+    http::memory_account& memory;
     admin_handler handler;
+    admin_intake intake;
     // Null before listen(). Destroyed first: its exchanges refer to the handler.
     std::unique_ptr<http::h2o_server> server;
 };
--- a/src/admission/memory_budget.cpp
+++ b/src/admission/memory_budget.cpp
@@ -16,15 +16,16 @@
 } // namespace
 
 std::size_t memory_budget::free() const {
-    return this->limit - std::min(this->limit, this->used_bytes);
+    return this->limit_bytes - std::min(this->limit_bytes, this->used_bytes);
 }
 
 bool memory_budget::admits(std::size_t bytes) const {
-    return this->limit == 0 || this->free() >= this->limit / reserve_divisor + bytes;
+    return this->limit_bytes == 0 || this->free() >= this->limit_bytes / reserve_divisor + bytes;
 }
 
 std::size_t memory_budget::buffer_limit() const {
-    return this->limit == 0 ? max_buffer : std::min(this->free() / buffer_divisor, max_buffer);
+    return this->limit_bytes == 0 ? max_buffer
+                                  : std::min(this->free() / buffer_divisor, max_buffer);
 }
 
 } // namespace samphirespool::admission
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 #include "gateway/gateway.hpp"
 
 #include "http/error_response.hpp"
+#include "settings/machine_memory.hpp"
 
 #include <algorithm>
 #include <array>
@@ -23,8 +24,8 @@
 // Idle connections to targets are closed after this time; most targets keep them open for longer.
 constexpr helpers::duration pool_idle_timeout = std::chrono::milliseconds(2500);
 constexpr int status_ok = 200;
-// A link of 200 Mbit/s fills 5 MB in this time.
-constexpr helpers::duration memory_check_interval = std::chrono::milliseconds(200);
+// Longer than the idle timeout of any caller.
+constexpr helpers::duration connection_idle_timeout = std::chrono::seconds(75);
 
 std::uint64_t seed_of(const settings::gateway_settings& settings, const kernel::clock& time) {
     return helpers::hash_name(settings.name) ^ static_cast<std::uint64_t>(time.wall());
@@ -72,10 +73,12 @@
     return result;
 }
 
-// Half of the machine's memory; the rest is for the program, its connections and the fleet's state.
-std::size_t memory_budget_of(const settings::gateway_settings& settings) {
-    constexpr std::size_t half_megabyte = std::size_t{1} << 19;
-    return settings.memory_limit_mb * half_megabyte;
+// Of readiness checks and reads of the metrics, which have no body.
+http::request_limits small_request_limits() {
+    http::request_limits result;
+    result.max_body_bytes = 1024;
+    result.max_header_bytes = std::size_t{8} << 10;
+    return result;
 }
 
 std::unique_ptr<rollout_control> make_rollouts(const settings::gateway_settings& settings,
@@ -120,7 +123,8 @@
       peers(settings.name, this->random),
       relay_tickets(keys),
       transport(loop, hybrid_time, this->random,
-                {settings.peer_listen, new_incarnation(loop.time()), std::move(keys)}),
+                {settings.peer_listen, new_incarnation(loop.time()), std::move(keys),
+                 http::shares_of(http::descriptor_limit(settings.max_descriptors)).peers}),
       peer_link(this->transport),
       fleet({loop, this->random, events, feeds, codec}, this->catalog, this->dispatch,
             own_member(settings), freshness_of(settings), this->rollouts != nullptr),
@@ -129,7 +133,12 @@
       quarantines(loop, events, feeds, codec, this->crashes),
       archive({loop, events, feeds, codec, this->catalog, this->fleet, this->stream_origins,
                this->load_exchange}),
-      memory(memory_budget_of(settings)),
+      memory(settings::memory_limit_mb(settings.memory_limit_mb), loop.time()),
+      descriptors(http::shares_of(http::descriptor_limit(settings.max_descriptors))),
+      callers([this] { return this->fleet.table(); }, names, this->counters, events, loop.time()),
+      relays(this->callers, events, loop.time()),
+      readiness_checks("readiness", small_request_limits(), events, loop.time()),
+      metrics_reads("metrics", small_request_limits(), events, loop.time()),
       services{loop,
                this->random,
                events,
@@ -144,7 +153,7 @@
                this->counters,
                this->latencies,
                this->shutting_down,
-               this->memory,
+               this->memory.budget(),
                codec,
                this->fleet.targets_watch(),
                this->rollouts.get()},
@@ -197,7 +206,6 @@
 
 gateway::~gateway() {
     this->loop.cancel(this->shutdown_timer);
-    this->loop.cancel(this->memory_timer);
 }
 
 void gateway::start_rollouts() {
@@ -224,23 +232,26 @@
 }
 
 std::unique_ptr<http::h2o_server> gateway::listen(const helpers::endpoint& address,
+                                                  http::intake_policy& policy,
+                                                  std::size_t max_connections,
                                                   http::exchange_handler handler,
                                                   kernel::error& reason) {
     http::server_limits limits;
-    // Upper bounds of the limits in the configuration; see routing::caller_limits.
-    limits.max_body_bytes = routing::caller_limits{}.max_body_bytes;
-    limits.max_header_bytes = routing::caller_limits{}.max_header_bytes;
-    limits.request_timeout = routing::caller_limits{}.header_timeout;
-    // Longer than the idle timeout of any caller.
-    limits.idle_timeout = std::chrono::seconds(75);
-    limits.max_connections = this->settings.max_connections;
-    return http::h2o_server::listen(this->loop, address, limits, nullptr, std::move(handler),
-                                    reason);
+    limits.request = policy.limits();
+    limits.idle_timeout = connection_idle_timeout;
+    limits.max_connections = max_connections;
+    limits.reserved_from = this->descriptors.reserved_from;
+    limits.receive_buffer = this->settings.receive_buffer;
+    return http::h2o_server::listen({this->loop, policy, this->memory.account()}, address, limits,
+                                    std::move(handler), reason);
 }
 
 bool gateway::start(kernel::error& reason) {
+    const auto& shares = this->descriptors;
     this->caller_server = this->listen(
-        this->settings.caller_listen,
+        this->settings.caller_listen, this->callers,
+        std::min(
+            {this->settings.max_connections, shares.callers, this->memory.max_connections(false)}),
         [this](std::unique_ptr<http::exchange> incoming) {
             this->startup_requests.submit(std::move(incoming));
         },
@@ -248,27 +259,29 @@
     if (this->caller_server == nullptr)
         return false;
     this->relay_server = this->listen(
-        this->settings.relay_listen,
+        this->settings.relay_listen, this->relays,
+        std::min(this->settings.max_connections, shares.peers),
         [this](std::unique_ptr<http::exchange> incoming) {
             this->accept_relayed(std::move(incoming));
         },
         reason);
     if (this->relay_server == nullptr)
         return false;
-    this->readiness_server = http::h2o_server::listen(
-        this->loop, this->settings.ready_listen, {}, nullptr,
+    this->readiness_server = this->listen(
+        this->settings.ready_listen, this->readiness_checks, shares.others,
         [this](std::unique_ptr<http::exchange> incoming) {
             this->respond_to_readiness_check(*incoming);
         },
         reason);
     if (this->readiness_server == nullptr)
         return false;
-    this->metrics_server = http::h2o_server::listen(
-        this->loop, this->settings.metrics_listen, {}, nullptr,
+    this->metrics_server = this->listen(
+        this->settings.metrics_listen, this->metrics_reads, shares.others,
         [this](std::unique_ptr<http::exchange> incoming) { this->respond_with_metrics(*incoming); },
         reason);
     if (this->metrics_server == nullptr)
         return false;
+    this->register_intake_metrics();
     if (auto fault = this->transport.start()) {
         reason = std::move(*fault);
         return false;
@@ -330,28 +343,6 @@
     auto& started = *request;
     this->requests.emplace(sequence, std::move(request));
     started.start();
-    if (this->memory_timer == 0)
-        this->memory_timer =
-            this->loop.schedule(memory_check_interval, [this] { this->measure_memory(); });
-}
-
-void gateway::measure_memory() {
-    this->memory_timer = 0;
-    auto used = this->caller_server->buffered_bytes() + this->relay_server->buffered_bytes();
-    proxied_request* slowest = nullptr;
-    for (const auto& [sequence, request] : this->requests) {
-        used += request->held_bytes();
-        if (slowest == nullptr || request->unread_bytes() > slowest->unread_bytes())
-            slowest = request.get();
-    }
-    this->memory.set_used(used);
-    if (slowest != nullptr && slowest->unread_bytes() > 0 && this->memory.is_exceeded()) {
-        ++this->counters.memory_aborts;
-        slowest->abort({kernel::error_kind::internal, "the memory for responses is used up"});
-    }
-    if (used > 0 || !this->requests.empty())
-        this->memory_timer =
-            this->loop.schedule(memory_check_interval, [this] { this->measure_memory(); });
 }
 
 void gateway::reject_while_shutting_down(http::exchange& incoming) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 
 #include "debug/json_log.hpp"
 #include "debug/metrics.hpp"
+#include "gateway/caller_intake.hpp"
 #include "gateway/crash_guard.hpp"
 #include "gateway/fleet_state.hpp"
 #include "gateway/path_prober.hpp"
@@ -12,6 +13,8 @@
 #include "gateway/rollout_control.hpp"
 #include "gateway/startup_queue.hpp"
 #include "gateway/stream_archive.hpp"
+#include "http/caller_memory.hpp"
+#include "http/descriptor_shares.hpp"
 #include "http/h2o_client.hpp"
 #include "http/h2o_server.hpp"
 #include "settings/gateway_settings.hpp"
@@ -53,16 +56,16 @@
     void accept_relayed(std::unique_ptr<http::exchange> incoming);
     void start_request(std::unique_ptr<http::exchange> incoming, helpers::time_point arrived,
                        std::optional<relay_ticket> ticket);
-    // Listens for callers and for other gateways, which have the same limits.
+    // A server of the process; returns null and sets `reason` if the address cannot be bound.
     std::unique_ptr<http::h2o_server> listen(const helpers::endpoint& address,
+                                             http::intake_policy& policy,
+                                             std::size_t max_connections,
                                              http::exchange_handler handler, kernel::error& reason);
     void reject_while_shutting_down(http::exchange& incoming);
     void respond_to_readiness_check(http::exchange& incoming) const;
     void register_metrics();
     void register_gauges();
-    // Measures the bytes that are held for callers. While the limit is exceeded, breaks off the
-    // response with the most unread bytes.
-    void measure_memory();
+    void register_intake_metrics();
     void start_rollouts();
     void respond_with_metrics(http::exchange& incoming) const;
     void check_shutdown();
@@ -93,7 +96,12 @@
     gateway_counters counters;
     latency_recorders latencies;
     bool shutting_down = false;
-    admission::memory_budget memory;
+    http::caller_memory memory;
+    http::descriptor_shares descriptors;
+    caller_intake callers;
+    relay_intake relays;
+    http::logged_policy readiness_checks;
+    http::logged_policy metrics_reads;
     request_services services;
     std::unique_ptr<http::h2o_server> caller_server;
     std::unique_ptr<http::h2o_server> relay_server;
@@ -105,7 +113,6 @@
     helpers::time_point shutdown_started_at{};
     kernel::task shutdown_handler;
     kernel::timer_id shutdown_timer = 0;
-    kernel::timer_id memory_timer = 0;
 };
 
 } // namespace samphirespool::gateway
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -1,6 +1,8 @@
 // The counters, gauges and histograms of a gateway's metrics address.
 #include "gateway/gateway.hpp"
 
+#include "http/intake_metrics.hpp"
+
 #include <array>
 
 namespace samphirespool::gateway {
@@ -82,6 +84,15 @@
     this->latencies.total = [&total](double seconds) { total.record(seconds); };
 }
 
+void gateway::register_intake_metrics() {
+    auto& metrics = this->metric_registry;
+    http::register_server_metrics(metrics, "", "callers", *this->caller_server);
+    http::register_server_metrics(metrics, "", "relays", *this->relay_server);
+    http::register_server_metrics(metrics, "", "readiness", *this->readiness_server);
+    http::register_server_metrics(metrics, "", "metrics", *this->metrics_server);
+    http::register_account_metrics(metrics, "", this->memory.account());
+}
+
 void gateway::register_gauges() {
     this->metric_registry.watch_gauge(
         {"broken_paths", "Targets to which this gateway cannot connect."},
@@ -119,10 +130,6 @@
          "Services with resumable streams that have served several software "
          "versions for as long as a stream may last; 0 unless this gateway is a hub."},
         [this] { return static_cast<double>(this->archive.mixed_services()); });
-    this->metric_registry.watch_gauge(
-        {"held_bytes",
-         "Bytes of requests in progress and of responses that callers have not read."},
-        [this] { return static_cast<double>(this->memory.used()); });
     this->metric_registry.watch_gauge(
         {"requests_waiting", "Requests that are queued for a target."},
         [this] { return static_cast<double>(this->dispatch.queued()); });
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -72,6 +72,7 @@
     this->services.loop.cancel(this->deadline_timer);
     this->services.loop.cancel(this->silence_timer);
     this->services.loop.cancel(this->deferred_timer);
+    this->services.loop.cancel(this->eviction_timer);
     this->call.reset();
     this->inspection.reset();
     if (this->dispatch_id != 0)
@@ -100,6 +101,7 @@
         this->finish("departed", "the caller closed its connection");
     });
     this->caller->on_drained([this] { this->resume_target(); });
+    this->caller->on_evicted([this] { this->on_evicted(); });
     this->service = routing::pick_service(*this->route, this->services.random.fraction());
     // The gateway that passed the request on has counted it.
     if (!this->ticket)
@@ -221,7 +223,8 @@
     this->is_event_stream = false;
     this->silence_reported = false;
     this->is_paused = false;
-    this->buffered_body.clear();
+    this->buffered_body = {};
+    this->caller->hold(0);
     this->splitter.discard_partial();
     this->has_head = false;
     this->was_under_way = false;
@@ -250,7 +253,7 @@
     request.path = incoming.path;
     if (!incoming.query.empty())
         request.path.append("?").append(incoming.query);
-    request.body = incoming.body;
+    request.shared_body = incoming.body;
     request.connect_timeout = std::min(connect_timeout, this->time_left());
     request.first_byte_timeout = this->time_left() + min_time_left;
     request.idle_timeout = request.first_byte_timeout;
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -97,11 +97,6 @@
     // responds with an error that states whether the request may have run.
     void abort(const kernel::error& reason);
 
-    // Bytes of the request, and of the part of its response that was not passed on yet.
-    std::size_t held_bytes() const;
-    // Bytes of the response that the caller has not read yet.
-    std::size_t unread_bytes() const { return this->caller->buffered(); }
-
 private:
     static constexpr int first_server_error = 500;
     static constexpr helpers::duration min_silence_timeout = std::chrono::milliseconds(250);
@@ -159,6 +154,9 @@
     bool admit();
     bool check_api_key();
     bool check_memory();
+    // What is held for the request is freed when the loop runs next, as this may be called while a
+    // part of its response is handled.
+    void on_evicted();
     void request_target();
     void on_assigned(assignment assigned);
     void start_attempt();
@@ -313,6 +311,7 @@
     kernel::timer_id deadline_timer = 0;
     kernel::timer_id silence_timer = 0;
     kernel::timer_id deferred_timer = 0;
+    kernel::timer_id eviction_timer = 0;
 };
 
 } // namespace samphirespool::gateway
--- a/src/gateway/proxied_request_finish.cpp
+++ b/src/gateway/proxied_request_finish.cpp
@@ -50,6 +50,7 @@
     if (reason.kind == error_kind::deadline_exceeded)
         this->version_attempt.end(true, this->services.loop.time().now());
     this->call.reset();
+    this->buffered_body = {};
     if (this->response_started) {
         ++this->services.counters.broken_streams;
         this->finish("broken", reason.detail);
@@ -58,19 +59,10 @@
     this->reject(reason, this->outcome());
 }
 
-std::size_t proxied_request::held_bytes() const {
-    // The server's own copy of the body is held as long as the request.
-    constexpr std::size_t body_copies = 2;
-    return body_copies * this->caller->request().body.size() + this->buffered_body.size() +
-           this->splitter.partial_bytes();
-}
-
+// The request itself is counted since its first byte.
 bool proxied_request::check_memory() {
-    const auto bytes = this->held_bytes();
-    if (this->services.memory.admits(bytes)) {
-        this->services.memory.on_admitted(bytes);
+    if (this->services.memory.admits(0))
         return true;
-    }
     ++this->services.counters.memory_rejections;
     if (this->ticket)
         this->refuse_relayed("no memory for the request");
@@ -80,6 +72,14 @@
     return false;
 }
 
+void proxied_request::on_evicted() {
+    ++this->services.counters.memory_aborts;
+    this->eviction_timer = this->services.loop.schedule(helpers::duration::zero(), [this] {
+        this->eviction_timer = 0;
+        this->abort({error_kind::internal, "the memory for responses is used up"});
+    });
+}
+
 request_outcome proxied_request::outcome() const {
     return this->may_have_run || this->has_reached_target ? request_outcome::unknown
                                                           : request_outcome::not_run;
@@ -155,6 +155,7 @@
     this->services.loop.cancel(std::exchange(this->deadline_timer, 0));
     this->services.loop.cancel(std::exchange(this->silence_timer, 0));
     this->services.loop.cancel(std::exchange(this->deferred_timer, 0));
+    this->services.loop.cancel(std::exchange(this->eviction_timer, 0));
     // No callback of the target or the dispatcher may run any more.
     this->call.reset();
     this->inspection.reset();
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -166,12 +166,16 @@
         if (this->buffered_body.size() > max_buffered_bytes)
             this->finish_attempt(attempt_outcome::maybe_run,
                                  {error_kind::target_failed, "the response body exceeds 4 MiB"});
+        else
+            this->caller->hold(this->buffered_body.capacity());
         return;
     }
     this->forward_events(this->splitter.append({data.data(), data.size()}));
     if (this->splitter.partial_bytes() > max_event_bytes)
         this->finish_attempt(attempt_outcome::maybe_run,
                              {error_kind::target_failed, "an event exceeds 256 KiB"});
+    else
+        this->caller->hold(this->splitter.partial_bytes());
 }
 
 void proxied_request::forward_events(std::string_view events) {
--- a/src/http/h2o_call.cpp
+++ b/src/http/h2o_call.cpp
@@ -3,6 +3,8 @@
 
 #include "http/response_head.hpp"
 
+#include <sys/socket.h>
+
 #include <cstring>
 #include <utility>
 
@@ -12,6 +14,7 @@
 
 // Of a response, including the interim responses before it.
 constexpr std::size_t max_head_bytes = std::size_t{64} << 10;
+constexpr std::size_t narrow_receive_buffer_bytes = std::size_t{64} << 10;
 
 helpers::duration or_default(helpers::duration requested, helpers::duration fallback) {
     return requested == helpers::duration::zero() ? fallback : requested;
@@ -57,10 +60,13 @@
         this->message.append(field.name).append(": ").append(field.value).append("\r\n");
     if (request.requires_new_connection)
         this->message += "connection: close\r\n";
-    if (!request.body.empty() || request.method == "POST" || request.method == "PUT")
-        this->message += "content-length: " + std::to_string(request.body.size()) + "\r\n";
+    const auto body_bytes = request.body.size() + request.shared_body.size();
+    if (body_bytes != 0 || request.method == "POST" || request.method == "PUT")
+        this->message += "content-length: " + std::to_string(body_bytes) + "\r\n";
     this->message += "\r\n";
     this->message += request.body;
+    this->request_vectors[1] =
+        h2o_iovec_init(request.shared_body.data(), request.shared_body.size());
 }
 
 void h2o_call::connect(h2o_http1client_ctx_t& context, h2o_socketpool_t* pool) {
@@ -131,9 +137,9 @@
     }
     self->current_phase = phase::waiting_for_head;
     self->start_timer(self->first_byte_timeout);
-    self->request_vector = h2o_iovec_init(self->message.data(), self->message.size());
-    *buffers = &self->request_vector;
-    *count = 1;
+    self->request_vectors[0] = h2o_iovec_init(self->message.data(), self->message.size());
+    *buffers = self->request_vectors.data();
+    *count = self->request_vectors[1].len == 0 ? 1 : 2;
     *method_is_head = self->is_head_method ? 1 : 0;
     // h2o starts to write after this function has returned.
     self->loop.cancel(self->intercept_timer);
@@ -290,6 +296,8 @@
     if (input->size != 0) {
         self->last_progress = self->loop.time().now();
         const auto size = input->size;
+        if (size > narrow_receive_buffer_bytes)
+            self->narrow_receive_buffer();
         self->listener.on_body({input->bytes, size});
         if (callback.call_destroyed)
             return -1;
@@ -320,6 +328,14 @@
         return;
     this->paused_reader = this->native->sock->_cb.read;
     h2o_socket_read_stop(this->native->sock);
+    this->narrow_receive_buffer();
+}
+
+void h2o_call::narrow_receive_buffer() {
+    if (std::exchange(this->is_narrow, true))
+        return;
+    const auto size = static_cast<int>(narrow_receive_buffer_bytes);
+    setsockopt(h2o_socket_get_fd(this->native->sock), SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
 }
 
 void h2o_call::resume() {
--- a/src/http/h2o_call.hpp
+++ b/src/http/h2o_call.hpp
@@ -5,6 +5,7 @@
 #include "http/h2o_client.hpp"
 #include "http/message_framing.hpp"
 
+#include <array>
 #include <string>
 
 namespace samphirespool::http {
@@ -74,6 +75,8 @@
 
     // Installs on_body_readable.
     void intercept_body();
+    // Bounds what the kernel receives ahead on a connection with a large response.
+    void narrow_receive_buffer();
     void fail(kernel::error_kind kind, std::string detail);
     void start_timer(helpers::duration wait);
     void on_timer();
@@ -84,7 +87,8 @@
     helpers::endpoint to;
     // The serialized request. Invariant: unchanged after connect(); h2o writes from it.
     std::string message;
-    h2o_iovec_t request_vector{};
+    // The message, and the body that the caller of the client keeps.
+    std::array<h2o_iovec_t, 2> request_vectors{};
     bool is_head_method;
     helpers::duration connect_timeout;
     helpers::duration first_byte_timeout;
@@ -106,6 +110,7 @@
     // Read callback of the socket while the call is paused.
     h2o_socket_cb paused_reader = nullptr;
     bool is_chunked = false;
+    bool is_narrow = false;
     message_framing chunks = message_framing::of_chunked_body();
     // h2o's own callbacks, which on_request_written and on_head_readable call.
     h2o_socket_cb h2o_write_callback = nullptr;
--- a/src/http/h2o_exchange.cpp
+++ b/src/http/h2o_exchange.cpp
@@ -1,4 +1,4 @@
-// Copies the request out of h2o's memory, which is freed when the caller disconnects.
+// Copies the head out of h2o's memory, which is freed when the caller disconnects.
 #include "http/h2o_exchange.hpp"
 
 #include <utility>
@@ -13,12 +13,12 @@
 
 } // namespace
 
-h2o_exchange::h2o_exchange(h2o_req_t& request, response_stream& stream)
+h2o_exchange::h2o_exchange(h2o_req_t& request, response_stream& stream, std::string body)
     : stream(&stream),
       method(to_string(request.input.method)),
       authority(to_string(request.input.authority)),
       target(to_string(request.input.path)),
-      body(to_string(request.entity)) {
+      body(std::move(body)) {
     this->headers.reserve(request.headers.size);
     for (std::size_t i = 0; i < request.headers.size; ++i) {
         const auto& field = request.headers.entries[i];
@@ -33,6 +33,7 @@
     this->stream->set_owner(nullptr);
     if (!this->is_finished)
         this->stream->abort_response();
+    this->stream->exchange_destroyed();
 }
 
 server_request h2o_exchange::request() const {
@@ -84,6 +85,18 @@
     return this->stream == nullptr ? 0 : this->stream->buffered();
 }
 
+void h2o_exchange::hold(std::size_t bytes) {
+    if (this->stream != nullptr)
+        this->stream->hold(bytes);
+}
+
+bool h2o_exchange::stream_evicted() {
+    const auto work = std::exchange(this->eviction_handler, nullptr);
+    if (work)
+        work();
+    return work != nullptr;
+}
+
 void h2o_exchange::stream_drained() {
     if (this->drained_handler)
         this->drained_handler();
--- a/src/http/h2o_exchange.hpp
+++ b/src/http/h2o_exchange.hpp
@@ -1,4 +1,5 @@
-// The exchange of the h2o server: a copy of the request, and the stream that sends the response.
+// The exchange of the h2o server: a copy of the request's head, its body, and the stream that sends
+// the response.
 #pragma once
 
 #include "http/response_stream.hpp"
@@ -10,7 +11,8 @@
 
 class h2o_exchange final : public exchange, private response_stream::owner {
 public:
-    h2o_exchange(h2o_req_t& request, response_stream& stream);
+    // Takes over the body, which h2o does not have.
+    h2o_exchange(h2o_req_t& request, response_stream& stream, std::string body);
     ~h2o_exchange() override;
     h2o_exchange(const h2o_exchange&) = delete;
     h2o_exchange& operator=(const h2o_exchange&) = delete;
@@ -24,6 +26,8 @@
     std::size_t buffered() const override;
     void on_drained(kernel::task work) override { this->drained_handler = std::move(work); }
     void on_disconnected(kernel::task work) override { this->disconnect_handler = std::move(work); }
+    void hold(std::size_t bytes) override;
+    void on_evicted(kernel::task work) override { this->eviction_handler = std::move(work); }
 
     // Size of the method, the path and all header fields.
     std::size_t header_bytes() const;
@@ -32,6 +36,7 @@
     void stream_drained() override;
     void stream_disconnected() override;
     void stream_destroyed() override { this->stream = nullptr; }
+    bool stream_evicted() override;
 
     // Null after h2o has destroyed the request.
     response_stream* stream;
@@ -43,6 +48,7 @@
     header_list headers;
     kernel::task drained_handler;
     kernel::task disconnect_handler;
+    kernel::task eviction_handler;
     bool is_finished = false;
 };
 
--- a/src/http/lingering_close.cpp
+++ b/src/http/lingering_close.cpp
@@ -4,28 +4,42 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <cstdint>
 
 namespace samphirespool::http {
 
 namespace {
 
-constexpr auto linger_time = std::chrono::seconds(2);
+// A caller that is still sending may need this time before it reads the response.
+constexpr auto linger_time = std::chrono::seconds(10);
+// A caller that sends nothing more has had this time to read it.
+constexpr auto silent_time = std::chrono::seconds(2);
 constexpr auto sweep_interval = std::chrono::milliseconds(10);
-constexpr std::size_t max_lingering = 256;
-constexpr int max_reads_per_sweep = 64;
+// The largest rest of a request that is discarded.
+constexpr std::size_t max_discarded = std::size_t{16} << 20;
+constexpr int max_reads_per_sweep = 8;
 
-// Discards received data. Returns whether the peer has closed the connection or it has failed.
-bool discard(int descriptor) {
+enum class discard_result : std::uint8_t {
+    nothing,
+    some,
+    // The peer has closed the connection, it has failed, or `left` is used up.
+    ended,
+};
+
+// Discards received data, at most `left` bytes.
+discard_result discard(int descriptor, std::size_t& left) {
     char buffer[65536];
     for (int i = 0; i < max_reads_per_sweep; ++i) {
         const auto count = recv(descriptor, buffer, sizeof(buffer), MSG_DONTWAIT);
-        if (count == 0)
-            return true;
-        if (count < 0)
-            return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+            return i == 0 ? discard_result::nothing : discard_result::some;
+        if (count <= 0 || static_cast<std::size_t>(count) >= left)
+            return discard_result::ended;
+        left -= static_cast<std::size_t>(count);
     }
-    return false;
+    return discard_result::some;
 }
 
 } // namespace
@@ -37,12 +51,13 @@
 }
 
 void lingering_close::linger(int descriptor) {
-    if (this->open.size() >= max_lingering)
+    if (this->open.size() >= this->max_open)
         return;
     const int copy = dup(descriptor);
     if (copy < 0)
         return;
-    this->open.push_back({copy, this->loop.time().now() + linger_time});
+    const auto now = this->loop.time().now();
+    this->open.push_back({copy, now + linger_time, now + silent_time, max_discarded});
     if (this->timer == 0)
         this->timer = this->loop.schedule(sweep_interval, [this] { this->sweep(); });
 }
@@ -52,7 +67,10 @@
     const auto now = this->loop.time().now();
     for (auto each = this->open.begin(); each != this->open.end();) {
         shutdown(each->descriptor, SHUT_WR);
-        if (!discard(each->descriptor) && now < each->until) {
+        const auto result = discard(each->descriptor, each->left);
+        if (result == discard_result::some)
+            each->silent_until = now + silent_time;
+        if (result != discard_result::ended && now < std::min(each->until, each->silent_until)) {
             ++each;
             continue;
         }
--- a/src/http/lingering_close.hpp
+++ b/src/http/lingering_close.hpp
@@ -11,7 +11,8 @@
 
 class lingering_close {
 public:
-    explicit lingering_close(kernel::loop& loop) : loop(loop) {}
+    // At most `max_open` connections linger at the same time.
+    lingering_close(kernel::loop& loop, std::size_t max_open) : loop(loop), max_open(max_open) {}
     ~lingering_close();
     lingering_close(const lingering_close&) = delete;
     lingering_close& operator=(const lingering_close&) = delete;
@@ -24,11 +25,16 @@
     struct lingering {
         int descriptor;
         helpers::time_point until;
+        // Unless more is received.
+        helpers::time_point silent_until;
+        // Bytes that may still be discarded.
+        std::size_t left;
     };
 
     void sweep();
 
     kernel::loop& loop;
+    std::size_t max_open;
     std::list<lingering> open;
     kernel::timer_id timer = 0;
 };
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -31,6 +31,8 @@
     std::string host;
     header_list headers;
     std::string body;
+    // Sent after `body`, without a copy; must outlive the call.
+    std::string_view shared_body;
     // Until the connection is established; zero selects the client's default.
     helpers::duration connect_timeout{};
     // From the start of the call to the response head; zero selects the client's default.
--- a/src/http/message_framing.cpp
+++ b/src/http/message_framing.cpp
@@ -6,6 +6,7 @@
 #include "http/request_head.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace samphirespool::http {
 
@@ -27,24 +28,38 @@
 
 bool message_framing::append(std::string_view data) {
     while (!data.empty() && this->current != part::invalid && this->current != part::unchecked)
-        if (!this->consume(data))
+        if (!this->consume(data, nullptr))
             this->current = part::invalid;
     return this->current != part::invalid;
 }
 
-bool message_framing::consume(std::string_view& data) {
+bool message_framing::take(std::string_view& data, received_message& message) {
+    const bool had_head = !message.head.empty();
+    while (!data.empty() && this->current != part::invalid && !message.is_complete) {
+        if (!this->consume(data, &message))
+            this->current = part::invalid;
+        message.is_complete = !message.head.empty() && this->current == part::head;
+        if (!had_head && !message.head.empty())
+            break;
+    }
+    return this->current != part::invalid;
+}
+
+bool message_framing::consume(std::string_view& data, received_message* message) {
     if (this->current == part::sized_body || this->current == part::chunk_data) {
-        this->skip(data);
+        this->skip(data, message);
         return true;
     }
     if (this->take_line(data))
-        return this->end_line();
+        return this->end_line(message);
     const auto limit = this->current == part::head ? max_head_bytes : max_framing_bytes;
     return this->buffer.size() + this->trailer_bytes <= limit;
 }
 
-void message_framing::skip(std::string_view& data) {
+void message_framing::skip(std::string_view& data, received_message* message) {
     const auto count = std::min<std::uint64_t>(this->left, data.size());
+    if (message != nullptr)
+        message->body.append(data.substr(0, count));
     data.remove_prefix(count);
     this->left -= count;
     if (this->left == 0)
@@ -60,7 +75,7 @@
 }
 
 // Within a line only its last byte can become valid by the bytes that follow: a carriage return.
-bool message_framing::end_line() {
+bool message_framing::end_line(received_message* message) {
     const auto whole = std::string_view(this->buffer).substr(this->line_start);
     if (!whole.ends_with(line_end))
         return false;
@@ -71,10 +86,11 @@
         // Empty lines before a request are ignored.
         if (line.empty() && this->line_start == 0) {
             this->buffer.clear();
-            return true;
+            this->empty_line_bytes += line_end.size();
+            return this->empty_line_bytes <= max_framing_bytes;
         }
         this->line_start = this->buffer.size();
-        return !line.empty() || this->end_head();
+        return !line.empty() || this->end_head(message);
     }
     if (this->current == part::chunk_size)
         return this->end_chunk_size();
@@ -92,7 +108,7 @@
     return this->trailer_bytes <= max_framing_bytes;
 }
 
-bool message_framing::end_head() {
+bool message_framing::end_head(received_message* message) {
     const std::string_view head = this->buffer;
     if (find_head_fault(head) != head_fault::none)
         return false;
@@ -119,8 +135,14 @@
             is_chunked = true;
         }
     }
+    if (message != nullptr) {
+        message->head = std::exchange(this->buffer, {});
+        if (!is_chunked)
+            message->length = this->left;
+    }
     this->buffer.clear();
     this->line_start = 0;
+    this->empty_line_bytes = 0;
     this->current = is_chunked ? part::chunk_size : this->left != 0 ? part::sized_body : part::head;
     return true;
 }
--- a/src/http/request_head.cpp
+++ b/src/http/request_head.cpp
@@ -3,7 +3,11 @@
 
 #include "http/field_line.hpp"
 
+#include <algorithm>
 #include <array>
+#include <cctype>
+#include <string>
+#include <utility>
 
 namespace samphirespool::http {
 
@@ -68,6 +72,28 @@
     }
 }
 
+request_head parse_head(std::string_view head) {
+    constexpr std::string_view line_end = "\r\n";
+    request_head result;
+    const auto request_line = head.substr(0, head.find(line_end));
+    const auto method_end = request_line.find(' ');
+    const auto target_end = request_line.rfind(' ');
+    result.method = request_line.substr(0, method_end);
+    result.target = request_line.substr(method_end + 1, target_end - method_end - 1);
+    auto rest = head.substr(request_line.size() + line_end.size());
+    while (rest != line_end && !rest.empty()) {
+        const auto line = rest.substr(0, rest.find(line_end));
+        rest.remove_prefix(std::min(rest.size(), line.size() + line_end.size()));
+        std::string name(line.substr(0, line.find(':')));
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        if (name == "host")
+            result.authority = field_value(line);
+        result.headers.push_back({std::move(name), std::string(field_value(line))});
+    }
+    return result;
+}
+
 std::string_view to_string(head_fault fault) {
     return descriptions.at(static_cast<std::size_t>(fault));
 }
--- a/src/http/request_head.hpp
+++ b/src/http/request_head.hpp
@@ -3,6 +3,8 @@
 // request.
 #pragma once
 
+#include "http/message.hpp"
+
 #include <cstdint>
 #include <string_view>
 
@@ -28,4 +30,15 @@
 // Description for error messages.
 std::string_view to_string(head_fault fault);
 
+// The parts of a head without faults. The views point into it.
+struct request_head {
+    std::string_view method;
+    std::string_view authority;
+    // Path and query.
+    std::string_view target;
+    header_list headers;
+};
+
+request_head parse_head(std::string_view head);
+
 } // namespace samphirespool::http
--- a/src/http/response_stream.cpp
+++ b/src/http/response_stream.cpp
@@ -98,8 +98,7 @@
     this->loop.cancel(this->head_timer);
     this->loop.cancel(this->recheck_timer);
     this->connection.active = nullptr;
-    if (this->connection.request_destroyed)
-        this->connection.request_destroyed();
+    this->connection.request_destroyed();
     if (this->stream_owner == nullptr)
         return;
     auto* notified_owner = std::exchange(this->stream_owner, nullptr);
@@ -194,6 +193,7 @@
     this->pending.append(data.data(), data.size());
     if (!this->is_sending)
         this->flush();
+    this->connection.buffered_changed();
 }
 
 void response_stream::write_last(std::string_view rest) {
@@ -215,6 +215,20 @@
         shutdown(h2o_socket_get_fd(this->socket()), SHUT_RDWR);
 }
 
+void response_stream::evict() {
+    this->request.http1_is_persistent = 0;
+    const bool is_broken_off = this->has_begun;
+    if (this->stream_owner == nullptr || !this->stream_owner->stream_evicted())
+        this->abort_response();
+    if (!is_broken_off)
+        return;
+    this->pending.clear();
+    // Makes the write in progress fail, so that h2o closes the connection.
+    const int descriptor = h2o_socket_get_fd(this->socket());
+    reset_on_close(descriptor);
+    shutdown(descriptor, SHUT_RDWR);
+}
+
 void response_stream::end(h2o_send_state_t state) {
     if (this->final_state != H2O_SEND_STATE_IN_PROGRESS)
         return;
@@ -290,6 +304,7 @@
         this->flush();
         return;
     }
+    this->connection.buffered_changed();
     if (this->stream_owner != nullptr)
         this->stream_owner->stream_drained();
 }
--- a/src/http/response_stream.hpp
+++ b/src/http/response_stream.hpp
@@ -18,11 +18,26 @@
 class response_stream;
 
 // Per-connection state of the server. The socket's on_close.data points to it.
-struct connection_record {
+class connection_record {
+public:
+    connection_record() = default;
+    connection_record(const connection_record&) = delete;
+    connection_record& operator=(const connection_record&) = delete;
+
     // The response in progress, or null.
     response_stream* active = nullptr;
-    // Runs when h2o has destroyed a request, before it reads the next one. May be empty.
-    kernel::task request_destroyed;
+
+    // h2o has destroyed a request, and has not begun to read the next one.
+    virtual void request_destroyed() = 0;
+    // The handler has freed the request.
+    virtual void exchange_destroyed() = 0;
+    // What response_stream::buffered() returns has changed.
+    virtual void buffered_changed() = 0;
+    // The handler holds so many bytes besides the request.
+    virtual void hold(std::size_t bytes) = 0;
+
+protected:
+    ~connection_record() = default;
 };
 
 class response_stream {
@@ -35,6 +50,8 @@
         virtual void stream_drained() = 0;
         virtual void stream_disconnected() = 0;
         virtual void stream_destroyed() = 0;
+        // The exchange is to end for want of memory. Returns whether the owner has ended it.
+        virtual bool stream_evicted() = 0;
     };
 
     // Creates the stream of a request and ties its lifetime to the request's memory pool.
@@ -49,6 +66,12 @@
 
     void close_connection_after() { this->request.http1_is_persistent = 0; }
 
+    // Ends the exchange for want of memory. A response that has begun is broken off at once.
+    void evict();
+
+    void exchange_destroyed() { this->connection.exchange_destroyed(); }
+    void hold(std::size_t bytes) { this->connection.hold(bytes); }
+
     // Sends what was written and then closes the connection so that the caller detects an
     // incomplete response.
     void abort_response();
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -5,6 +5,7 @@
 #include "kernel/loop.hpp"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -53,20 +54,45 @@
     // Sets the handler that runs at most once, if the caller disconnects before the response is
     // complete. All other functions have no effect after that.
     virtual void on_disconnected(kernel::task work) = 0;
+
+    // States how many bytes the handler holds for this exchange, apart from the request and from
+    // what it has written. If they do not fit, the exchange may be evicted at once.
+    virtual void hold(std::size_t bytes) = 0;
+
+    // Sets the handler that runs at most once, if the exchange is to end for want of memory: it
+    // frees what it holds, and responds if it has not begun to. Without a handler the connection is
+    // closed.
+    virtual void on_evicted(kernel::task work) = 0;
 };
 
 using exchange_handler = std::function<void(std::unique_ptr<exchange>)>;
 
-struct server_limits {
+// Limits of one request.
+struct request_limits {
     std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
     // Size of the request line and all header fields together.
     std::size_t max_header_bytes = std::size_t{32} * 1024;
-    // Time to receive the rest of a request after its first byte.
-    helpers::duration request_timeout = std::chrono::seconds(10);
+    // Time to receive the rest of a head after its first byte, and the rest of a body after its
+    // head.
+    helpers::duration header_timeout = std::chrono::seconds(10);
+    helpers::duration body_timeout = std::chrono::seconds(10);
+    // Longest time without a byte of a body.
+    helpers::duration body_stall_timeout = std::chrono::seconds(10);
+    // Callers do not use a connection again that has been idle for longer.
+    helpers::duration idle_timeout = std::chrono::seconds(60);
+};
+
+struct server_limits {
+    request_limits request;
     // Limits the time that a write to the connection may take, and the time that a connection is
     // kept without a request.
     helpers::duration idle_timeout = std::chrono::seconds(60);
     std::size_t max_connections = 20'000;
+    // Memory of the kernel for bytes of a connection that were received and not read; larger while
+    // a body is received that is longer.
+    std::size_t receive_buffer = std::size_t{8} << 10;
+    // No connection is accepted whose descriptor has this number or a larger one.
+    std::size_t reserved_from = std::numeric_limits<int>::max();
 };
 
 class server {
--- a/src/router/caller_request.cpp
+++ b/src/router/caller_request.cpp
@@ -65,6 +65,15 @@
                this->parse_deadline(time, max_deadline) && this->parse_options();
     }
 
+    bool judge_head() {
+        if (!this->parse_organisation())
+            return false;
+        return this->request.path == chat_path
+                   ? this->request.method == "POST" ||
+                         this->fail(error_kind::bad_request, "chat completions require POST")
+                   : this->parse_service();
+    }
+
 private:
     bool fail(error_kind kind, std::string detail) {
         this->reason = {kind, std::move(detail)};
@@ -158,6 +167,16 @@
     return priority_names[static_cast<std::size_t>(priority)];
 }
 
+std::optional<kernel::error> judge_head(const http::server_request& head,
+                                        std::shared_ptr<const configuration_index> index) {
+    caller_request result;
+    result.index = std::move(index);
+    kernel::error reason;
+    if (request_parser(head, result, reason).judge_head())
+        return std::nullopt;
+    return reason;
+}
+
 std::optional<caller_request> parse_caller_request(const http::server_request& request,
                                                    std::shared_ptr<const configuration_index> index,
                                                    const kernel::clock& time,
--- a/src/router/caller_request.hpp
+++ b/src/router/caller_request.hpp
@@ -46,6 +46,11 @@
 
 std::string_view to_string(request_priority priority);
 
+// Returns why a request with this head cannot be served, whatever its body is; nothing if it may
+// be.
+std::optional<kernel::error> judge_head(const http::server_request& head,
+                                        std::shared_ptr<const configuration_index> index);
+
 // Returns nullopt and sets `reason` if the request is invalid, unauthorized or for no known
 // service.
 std::optional<caller_request> parse_caller_request(const http::server_request& request,
--- a/src/router/caller_server.cpp
+++ b/src/router/caller_server.cpp
@@ -1,6 +1,9 @@
 // Starts the listener for callers and shuts it down gracefully.
 #include "router/caller_server.hpp"
 
+#include "http/descriptor_shares.hpp"
+
+#include <algorithm>
 #include <utility>
 
 namespace samphirespool::router {
@@ -11,11 +14,40 @@
 // For the responses to requests that were read last.
 constexpr auto max_farewell = std::chrono::milliseconds(500);
 
+http::request_limits request_limits_of(const settings::router_settings& settings) {
+    http::request_limits limits;
+    limits.max_body_bytes = settings.max_body_bytes;
+    limits.header_timeout = settings.request_timeout;
+    limits.body_timeout = settings.request_timeout;
+    limits.body_stall_timeout = settings.request_timeout;
+    limits.idle_timeout = settings.idle_timeout;
+    return limits;
+}
+
 } // namespace
 
+caller_intake::caller_intake(const settings::router_settings& settings, request_handler& requests,
+                             kernel::event_sink& events, const kernel::clock& time)
+    : http::logged_policy("callers", request_limits_of(settings), events, time),
+      requests(requests) {}
+
+http::head_decision caller_intake::judge(const http::server_request& head) const {
+    http::head_decision result;
+    if (auto reason = this->requests.judge(head)) {
+        result.refusal.emplace();
+        result.refusal->reason = std::move(*reason);
+    }
+    return result;
+}
+
 caller_server::caller_server(http::event_loop& loop, const settings::router_settings& settings,
-                             const request_context& context)
-    : loop(loop), settings(settings), events(context.events), requests(context) {
+                             const request_context& context, http::caller_memory& memory)
+    : loop(loop),
+      settings(settings),
+      events(context.events),
+      memory(memory),
+      requests(context),
+      intake(settings, this->requests, context.events, loop.time()) {
     if (settings.caller_tls)
         this->keys.emplace(settings.caller_tls->certificate_file, settings.caller_tls->key_file);
 }
@@ -28,12 +60,16 @@
     if (this->keys && !this->keys->load(reason))
         return false;
     http::server_limits limits;
-    limits.max_body_bytes = this->settings.max_body_bytes;
-    limits.request_timeout = this->settings.request_timeout;
+    limits.request = this->intake.limits();
     limits.idle_timeout = this->settings.idle_timeout;
-    limits.max_connections = this->settings.max_connections;
+    const auto shares = http::shares_of(http::descriptor_limit(this->settings.max_descriptors));
+    limits.max_connections = std::min({this->settings.max_connections, shares.callers,
+                                       this->memory.max_connections(this->keys.has_value())});
+    limits.reserved_from = shares.reserved_from;
+    limits.receive_buffer = this->settings.receive_buffer;
     this->server = http::h2o_server::listen(
-        this->loop, this->settings.caller_listen, limits, this->keys ? &*this->keys : nullptr,
+        {this->loop, this->intake, this->memory.account(), this->keys ? &*this->keys : nullptr},
+        this->settings.caller_listen, limits,
         [this](std::unique_ptr<http::exchange> incoming) {
             this->requests.handle(std::move(incoming));
         },
--- a/src/router/caller_server.hpp
+++ b/src/router/caller_server.hpp
@@ -1,8 +1,10 @@
 // HTTP server for callers: listener, TLS keys and their reload, request handler, graceful shutdown.
 #pragma once
 
+#include "http/caller_memory.hpp"
 #include "http/event_loop.hpp"
 #include "http/h2o_server.hpp"
+#include "http/logged_policy.hpp"
 #include "router/request_handler.hpp"
 #include "settings/router_settings.hpp"
 
@@ -11,10 +13,22 @@
 
 namespace samphirespool::router {
 
+// Judges callers' requests by their heads, while their bodies arrive.
+class caller_intake final : public http::logged_policy {
+public:
+    caller_intake(const settings::router_settings& settings, request_handler& requests,
+                  kernel::event_sink& events, const kernel::clock& time);
+
+    http::head_decision judge(const http::server_request& head) const override;
+
+private:
+    request_handler& requests;
+};
+
 class caller_server {
 public:
     caller_server(http::event_loop& loop, const settings::router_settings& settings,
-                  const request_context& context);
+                  const request_context& context, http::caller_memory& memory);
     ~caller_server();
     caller_server(const caller_server&) = delete;
     caller_server& operator=(const caller_server&) = delete;
@@ -25,6 +39,8 @@
     std::uint16_t port() const { return this->server->port(); }
     request_handler& handler() { return this->requests; }
     const request_handler& handler() const { return this->requests; }
+    const http::h2o_server& listener() const { return *this->server; }
+    const http::memory_account& account() const { return this->memory.account(); }
 
     // Reloads the TLS keys from their files; keeps the current ones if the new ones are invalid.
     void reload_keys();
@@ -43,7 +59,10 @@
     const settings::router_settings& settings;
     kernel::event_sink& events;
     std::optional<http::tls_keys> keys;
+    http::caller_memory& memory;
     request_handler requests;
+    caller_intake intake;
+    // Null before listen().
     std::unique_ptr<http::h2o_server> server;
     kernel::task shutdown_handler;
     helpers::time_point shutdown_deadline{};
--- a/src/router/metric_sources.cpp
+++ b/src/router/metric_sources.cpp
@@ -1,6 +1,8 @@
 // Tables that map a router's counters to the names of their metrics.
 #include "router/metric_sources.hpp"
 
+#include "http/intake_metrics.hpp"
+
 #include <array>
 #include <string>
 
@@ -98,4 +100,12 @@
         [&shares = sources.shares] { return static_cast<double>(shares.shares().outstanding()); });
 }
 
+void register_intake_metrics(debug::metrics& metrics, const caller_server& callers,
+                             const admin::admin_server& operators) {
+    const std::string prefix = "samphirespool_";
+    http::register_server_metrics(metrics, prefix, "callers", callers.listener());
+    http::register_server_metrics(metrics, prefix, "admin", operators.listener());
+    http::register_account_metrics(metrics, prefix, callers.account());
+}
+
 } // namespace samphirespool::router
--- a/src/router/metric_sources.hpp
+++ b/src/router/metric_sources.hpp
@@ -1,6 +1,7 @@
 // Registers the counters of a router's services as metrics. The services must outlive the metrics.
 #pragma once
 
+#include "admin/admin_server.hpp"
 #include "debug/metrics.hpp"
 #include "router/membership_service.hpp"
 #include "router/request_path.hpp"
@@ -20,4 +21,8 @@
 // samphirespool_store_*, samphirespool_members_alive and samphirespool_reservations_*.
 void register_router_metrics(debug::metrics& metrics, const router_metric_sources& sources);
 
+// What the servers for callers and operators refuse, close and hold. Only once they listen.
+void register_intake_metrics(debug::metrics& metrics, const caller_server& callers,
+                             const admin::admin_server& operators);
+
 } // namespace samphirespool::router
--- a/src/router/request_handler.cpp
+++ b/src/router/request_handler.cpp
@@ -16,19 +16,32 @@
 } // namespace
 
 void request_handler::handle(std::unique_ptr<http::exchange> incoming) {
-    const auto request = incoming->request();
-    if (request.path == health_path)
+    if (incoming->request().path == health_path)
         this->respond_health(*incoming);
-    else if (this->shutting_down)
-        this->reject(*incoming, {error_kind::shutting_down, "this router is leaving"});
-    else if (!this->ready || this->context.fleet.index() == nullptr)
-        this->reject(*incoming, {error_kind::not_ready, "this router is starting"});
-    else if (this->requests.size() >= this->context.limits.max_requests_in_progress)
-        this->reject(*incoming, {error_kind::queue_full, "too many requests in progress"});
+    else if (auto reason = this->fault())
+        this->reject(*incoming, std::move(*reason));
     else
         this->accept(std::move(incoming));
 }
 
+std::optional<kernel::error> request_handler::fault() const {
+    if (this->shutting_down)
+        return kernel::error{error_kind::shutting_down, "this router is leaving"};
+    if (!this->ready || this->context.fleet.index() == nullptr)
+        return kernel::error{error_kind::not_ready, "this router is starting"};
+    if (this->requests.size() >= this->context.limits.max_requests_in_progress)
+        return kernel::error{error_kind::queue_full, "too many requests in progress"};
+    return std::nullopt;
+}
+
+std::optional<kernel::error> request_handler::judge(const http::server_request& head) const {
+    if (head.path == health_path)
+        return std::nullopt;
+    if (auto reason = this->fault())
+        return reason;
+    return judge_head(head, this->context.fleet.index());
+}
+
 void request_handler::respond_health(http::exchange& incoming) const {
     const bool healthy =
         this->ready && !this->shutting_down && this->context.fleet.index() != nullptr;
--- a/src/router/request_handler.hpp
+++ b/src/router/request_handler.hpp
@@ -7,6 +7,7 @@
 #include "router/routed_request.hpp"
 
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace samphirespool::router {
@@ -19,6 +20,9 @@
 
     void handle(std::unique_ptr<http::exchange> incoming);
 
+    // Why a request with this head is rejected, whatever its body is; nothing if it is not.
+    std::optional<kernel::error> judge(const http::server_request& head) const;
+
     // While not ready, for example with neither peers nor store reachable, the health check fails
     // and new requests are rejected.
     void set_ready(bool value) { this->ready = value; }
@@ -35,6 +39,8 @@
     const request_counters& counters() const { return this->context.counters; }
 
 private:
+    // Why no request can be served now; nothing if they can.
+    std::optional<kernel::error> fault() const;
     void respond_health(http::exchange& incoming) const;
     void accept(std::unique_ptr<http::exchange> incoming);
     void reject(http::exchange& incoming, kernel::error reason);
--- a/src/router/request_path.cpp
+++ b/src/router/request_path.cpp
@@ -21,7 +21,7 @@
                            const router_identity& self, fleet_view& fleet,
                            admission::reservation_service& reservations,
                            claims::claim_service& claims, http::client& targets,
-                           kernel::event_sink& events)
+                           kernel::event_sink& events, http::caller_memory& memory)
     : fleet(fleet),
       requests(loop, fleet, self.id,
                {settings.max_queued_requests,
@@ -39,7 +39,8 @@
                                   events,
                                   self,
                                   limits_of(settings),
-                                  {}}) {
+                                  {}},
+                  memory) {
     fleet.on_change([this] { this->apply_preset(); });
     this->apply_preset();
 }
--- a/src/router/request_path.hpp
+++ b/src/router/request_path.hpp
@@ -15,7 +15,7 @@
     request_path(http::event_loop& loop, const settings::router_settings& settings,
                  const router_identity& self, fleet_view& fleet,
                  admission::reservation_service& reservations, claims::claim_service& claims,
-                 http::client& targets, kernel::event_sink& events);
+                 http::client& targets, kernel::event_sink& events, http::caller_memory& memory);
 
     request_queue& queue() { return this->requests; }
     const request_queue& queue() const { return this->requests; }
--- a/src/router/response_relay.cpp
+++ b/src/router/response_relay.cpp
@@ -47,20 +47,22 @@
 }
 
 void response_relay::append(std::span<const char> data) {
-    if (this->has_events) {
+    if (this->has_events)
         this->append_events(data);
-        return;
-    }
-    if (this->started) {
+    else if (this->started)
         this->caller.write(data);
-        return;
-    }
+    else
+        this->append_plain(data);
+    this->caller.hold(this->buffer.capacity());
+}
+
+void response_relay::append_plain(std::span<const char> data) {
     this->buffer.append(data.data(), data.size());
     if (this->buffer.size() <= max_buffered_bytes)
         return;
     this->start();
     this->caller.write(this->buffer);
-    this->buffer.clear();
+    this->buffer = {};
 }
 
 void response_relay::append_events(std::span<const char> data) {
--- a/src/router/response_relay.hpp
+++ b/src/router/response_relay.hpp
@@ -49,6 +49,7 @@
 
 private:
     void start();
+    void append_plain(std::span<const char> data);
     void append_events(std::span<const char> data);
     // Counts the complete events at the start of the text, before the end mark, and returns their
     // size in bytes with the end mark.
--- a/src/router/routed_request.cpp
+++ b/src/router/routed_request.cpp
@@ -83,6 +83,7 @@
 
 void routed_request::start() {
     this->caller->on_disconnected([this] { this->on_caller_disconnected(); });
+    this->caller->on_evicted([this] { this->on_evicted(); });
     this->caller->on_drained([this] {
         if (this->current_attempt && this->current_attempt->call)
             this->current_attempt->call->resume();
@@ -95,6 +96,14 @@
     this->submit_to_queue();
 }
 
+// This may be called while a part of the response is handled.
+void routed_request::on_evicted() {
+    this->context.loop.post([this, living = this->alive] {
+        if (*living)
+            this->abort({error_kind::internal, "the memory for responses is used up"});
+    });
+}
+
 void routed_request::submit_to_queue() {
     const admission::queued_request queued{this->id, this->parsed_request.organisation.id,
                                            static_cast<std::uint8_t>(this->parsed_request.priority),
@@ -265,7 +274,7 @@
     call.headers.push_back({"x-deadline-ms", to_milliseconds_text(remaining)});
     if (this->relay.events_forwarded() > 0)
         call.headers.push_back({"x-resume-tokens", std::to_string(this->relay.events_forwarded())});
-    call.body = received.body;
+    call.shared_body = received.body;
     // Before the response starts the deadline timer ends the call; this limit only backs it up.
     call.first_byte_timeout =
         this->relay.has_started() ? resume_timeout : this->context.limits.max_deadline;
--- a/src/router/routed_request.hpp
+++ b/src/router/routed_request.hpp
@@ -82,6 +82,7 @@
     // Releases the grant, if one is held, and records the result for the health of the target.
     void end_attempt(release_result result);
     void on_caller_disconnected();
+    void on_evicted();
     void respond_with_error(const request::decision& decision);
     void settle_claim(kernel::request_outcome outcome);
     // Runs the work in the next loop iteration, instead of work deferred before.
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -2,7 +2,9 @@
 #include "router/router.hpp"
 
 #include "admin/metric_sources.hpp"
+#include "http/descriptor_shares.hpp"
 #include "router/metric_sources.hpp"
+#include "settings/machine_memory.hpp"
 
 namespace samphirespool::router {
 
@@ -51,12 +53,13 @@
           claims(owner.loop, directory, claim_link, journals,
                  claim_settings_of(owner.settings, owner.identity)),
           path(owner.loop, owner.settings, owner.identity, view, shares.reservations(), claims,
-               owner.target_client, owner.events),
+               owner.target_client, owner.events, owner.memory),
           limits(owner.loop, owner.transport, members, view, path.queue()),
           status({owner.loop.time(), owner.settings, owner.identity, members, view, shares, path,
                   owner.store}),
           admin(owner.loop, owner.settings,
-                {configuration, status, owner.metrics, owner.events, owner.random}) {}
+                {configuration, status, owner.metrics, owner.events, owner.random},
+                owner.memory.account()) {}
 
     membership_service members;
     member_directory directory;
@@ -102,6 +105,7 @@
     admin::register_process_metrics(result->metrics);
     register_router_metrics(result->metrics,
                             {fleet.path, fleet.shares, fleet.members, result->store});
+    register_intake_metrics(result->metrics, fleet.path.server(), fleet.admin);
     fleet.configuration.start();
     result->tick();
     return result;
@@ -117,11 +121,13 @@
       random(seed_of(settings)),
       metrics(loop.time()),
       transport(loop, order, this->random,
-                {settings.peer_listen, this->identity.incarnation, std::move(keys)}),
+                {settings.peer_listen, this->identity.incarnation, std::move(keys),
+                 http::shares_of(http::descriptor_limit(settings.max_descriptors)).peers}),
       store_client(loop, {}),
       target_client(loop, {}),
       http_store(loop, this->store_client, {settings.store}),
-      store(this->http_store) {}
+      store(this->http_store),
+      memory(settings::memory_limit_mb(settings.memory_limit_mb), loop.time()) {}
 
 router::~router() {
     this->loop.cancel(this->timer);
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -3,6 +3,7 @@
 
 #include "admin/admin_server.hpp"
 #include "claims/claim_manager.hpp"
+#include "http/caller_memory.hpp"
 #include "router/daemon.hpp"
 #include "router/fleet_status.hpp"
 #include "router/limit_service.hpp"
@@ -57,6 +58,7 @@
     http::h2o_client target_client;
     store::http_object_store http_store;
     store::monitored_store store;
+    http::caller_memory memory;
     std::unique_ptr<fleet_services> fleet;
     kernel::timer_id timer = 0;
     // Set once the shutdown has begun.
--- a/src/router/standalone_router.hpp
+++ b/src/router/standalone_router.hpp
@@ -2,6 +2,7 @@
 // administration API. Reservations, claims and limits are kept in this process.
 #pragma once
 
+#include "http/caller_memory.hpp"
 #include "http/event_loop.hpp"
 #include "kernel/random.hpp"
 #include "router/daemon.hpp"
@@ -30,6 +31,7 @@
     fleet_view fleet;
     local_reservations reservations;
     local_claims claims;
+    http::caller_memory memory;
     request_path path;
     local_limit_owner limit_owner;
 };
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -15,6 +15,10 @@
 
 namespace {
 
+constexpr std::size_t min_receive_buffer = 4096;
+constexpr std::size_t max_receive_buffer = std::size_t{1} << 20;
+constexpr std::size_t min_descriptors = 64;
+
 using member = std::variant<std::string gateway_settings::*, helpers::endpoint gateway_settings::*,
                             helpers::duration gateway_settings::*, double gateway_settings::*,
                             std::size_t gateway_settings::*>;
@@ -25,7 +29,7 @@
     member field;
 };
 
-constexpr std::array<key_rule, 26> rules{{
+constexpr std::array<key_rule, 28> rules{{
     {"name", true, &gateway_settings::name},
     {"data_centre", true, &gateway_settings::data_centre},
     {"caller_listen", true, &gateway_settings::caller_listen},
@@ -37,7 +41,9 @@
     {"store", true, &gateway_settings::store},
     {"shutdown_grace", false, &gateway_settings::shutdown_grace},
     {"max_connections", false, &gateway_settings::max_connections},
+    {"max_descriptors", false, &gateway_settings::max_descriptors},
     {"memory_limit_mb", false, &gateway_settings::memory_limit_mb},
+    {"receive_buffer", false, &gateway_settings::receive_buffer},
     {"link_mbps", false, &gateway_settings::link_mbps},
     {"cpu_share", false, &gateway_settings::cpu_share},
     {"repeat_ratio", false, &gateway_settings::retry_ratio},
@@ -164,6 +170,10 @@
     if (result.target_pace != "off" && result.target_pace != "reported" &&
         result.target_pace != "on")
         add_fault(faults, "target_pace", "must be off, reported or on");
+    if (result.receive_buffer < min_receive_buffer || result.receive_buffer > max_receive_buffer)
+        add_fault(faults, "receive_buffer", "must be 4096 to 1048576 bytes");
+    if (result.max_descriptors != 0 && result.max_descriptors < min_descriptors)
+        add_fault(faults, "max_descriptors", "must be 64 or more");
     if (result.rollout_exposure_share > 1)
         add_fault(faults, "rollout_exposure_share", "must be a fraction, at most 1");
     if (faults.size() != faults_before)
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -34,11 +34,16 @@
     helpers::endpoint store;
     // Maximum time from SIGTERM to the exit of the process.
     helpers::duration shutdown_grace = std::chrono::seconds(8);
-    // Maximum number of open connections of callers.
+    // Maximum number of open connections of callers, and of other gateways that pass on requests.
     std::size_t max_connections = 2000;
-    // Memory of the process in MB; half of it may hold requests in progress and responses that
-    // callers have not read yet. 0: no limit.
+    // Descriptors that the process may open; 0: what the kernel allows it. Callers get half at
+    // most.
+    std::size_t max_descriptors = 0;
+    // Memory of the process in MB; half of it may hold requests, from their first byte on, and
+    // responses that callers have not read yet. 0: the memory of the machine.
     std::size_t memory_limit_mb = 0;
+    // The kernel's receive buffer of a caller's connection.
+    std::size_t receive_buffer = std::size_t{8} << 10;
     // Capacity of this machine's network link in Mbit/s, and its share of a CPU core.
     double link_mbps = 1000;
     double cpu_share = 1;
--- a/src/settings/router_settings.cpp
+++ b/src/settings/router_settings.cpp
@@ -94,7 +94,7 @@
 using namespace std::chrono_literals;
 using settings = router_settings;
 
-const std::array<key_rule, 21> key_rules{{
+const std::array<key_rule, 24> key_rules{{
     {"name", true, name_rule{&settings::name}},
     {"data_centre", true, name_rule{&settings::data_centre}},
     {"region", true, name_rule{&settings::region}},
@@ -110,6 +110,10 @@
     {"max_body_bytes", false,
      size_rule{&settings::max_body_bytes, 1024, 1ULL << 30, "1KiB to 1GiB"}},
     {"max_connections", false, count_rule{&settings::max_connections, 1, 1'000'000}},
+    {"max_descriptors", false, count_rule{&settings::max_descriptors, 64, 1'000'000}},
+    {"memory_limit_mb", false, count_rule{&settings::memory_limit_mb, 16, 1'000'000}},
+    {"receive_buffer", false,
+     size_rule{&settings::receive_buffer, 4096, 1ULL << 20, "4KiB to 1MiB"}},
     {"request_timeout", false, duration_rule{&settings::request_timeout, 100ms, 1h, "100ms to 1h"}},
     {"idle_timeout", false, duration_rule{&settings::idle_timeout, 100ms, 24h, "100ms to 24h"}},
     {"max_deadline", false, duration_rule{&settings::max_deadline, 1s, 24h, "1s to 24h"}},
--- a/src/settings/router_settings.hpp
+++ b/src/settings/router_settings.hpp
@@ -66,6 +66,14 @@
     std::size_t max_body_bytes = std::size_t{8} << 20;
     // Maximum number of open connections of callers.
     std::size_t max_connections = 20'000;
+    // Descriptors that the process may open; 0: what the kernel allows it. Callers get half at
+    // most.
+    std::size_t max_descriptors = 0;
+    // Memory of the process in MB; half of it may hold requests, from their first byte on, and
+    // responses that callers have not read yet. 0: the memory of the machine.
+    std::size_t memory_limit_mb = 0;
+    // The kernel's receive buffer of a caller's connection.
+    std::size_t receive_buffer = std::size_t{8} << 10;
     // Maximum time to receive the rest of a request once it has begun to arrive.
     helpers::duration request_timeout = std::chrono::seconds(10);
     // Maximum idle time of a connection between requests.
--- a/standins/common/standin_main.hpp
+++ b/standins/common/standin_main.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "http/event_loop.hpp"
-#include "http/h2o_server.hpp"
+#include "http/standalone_server.hpp"
 
 #include <cstdint>
 #include <cstdio>
@@ -38,10 +38,10 @@
                  http::exchange_handler handler) {
     kernel::error reason;
     http::server_limits limits;
-    limits.max_body_bytes = std::size_t{64} * 1024 * 1024;
+    limits.request.max_body_bytes = std::size_t{64} * 1024 * 1024;
     limits.idle_timeout = std::chrono::minutes(10);
     const auto server =
-        http::h2o_server::listen(loop, options.listen, limits, nullptr, std::move(handler), reason);
+        http::standalone_server::listen(loop, options.listen, limits, std::move(handler), reason);
     if (server == nullptr) {
         std::fprintf(stderr, "%s\n", reason.detail.c_str());
         return EXIT_FAILURE;
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -1,7 +1,7 @@
 // Program of the platform stand-in: options for the listen address and for limits of calls per
 // second. Prints one JSON line with the port in use.
 #include "http/event_loop.hpp"
-#include "http/h2o_server.hpp"
+#include "http/standalone_server.hpp"
 #include "standins/platform/platform.hpp"
 
 #include <getopt.h>
@@ -55,8 +55,8 @@
     http::event_loop loop;
     standins::platform platform(loop, chosen->platform);
     kernel::error reason;
-    const auto server = http::h2o_server::listen(
-        loop, chosen->listen, {}, nullptr,
+    const auto server = http::standalone_server::listen(
+        loop, chosen->listen, {},
         [&platform](std::unique_ptr<http::exchange> call) { platform.handle(std::move(call)); },
         reason);
     if (server == nullptr) {
--- a/tests/admin/test_admin_handler.cpp
+++ b/tests/admin/test_admin_handler.cpp
@@ -5,6 +5,7 @@
 #include "config/changes.hpp"
 #include "config/checks.hpp"
 #include "config/documents.hpp"
+#include "http/caller_memory.hpp"
 #include "tests/http/loopback.hpp"
 #include "tests/store/fake_exchange.hpp"
 
@@ -265,12 +266,13 @@
 
 TEST_CASE_FIXTURE(admin_fixture, "the operators' server serves the API over TCP") {
     http::event_loop loop;
+    http::caller_memory memory(0, loop.time());
     settings::router_settings server_settings;
     server_settings.admin_listen = {"127.0.0.1", 0};
     server_settings.admin_tokens = {
         {"bob", admin::token_hash("write"), settings::admin_role::reader}};
     admin::admin_server server(loop, server_settings,
-                               {configuration, fleet, metrics, events, random});
+                               {configuration, fleet, metrics, events, random}, memory.account());
     kernel::error reason;
     REQUIRE(server.listen(reason));
     http::h2o_client client(loop, {});
@@ -284,8 +286,8 @@
     CHECK(response.status == 200);
     CHECK(json::parse(response.body).at("name") == "ordinary");
     server_settings.admin_tls = settings::tls_settings{"/nonexistent/crt", "/nonexistent/key"};
-    admin::admin_server with_missing_keys(loop, server_settings,
-                                          {configuration, fleet, metrics, events, random});
+    admin::admin_server with_missing_keys(
+        loop, server_settings, {configuration, fleet, metrics, events, random}, memory.account());
     CHECK_FALSE(with_missing_keys.listen(reason));
     CHECK(reason.detail.find("/nonexistent/crt") != std::string::npos);
 }
--- a/tests/admission/test_memory_budget.cpp
+++ b/tests/admission/test_memory_budget.cpp
@@ -58,7 +58,7 @@
     memory_budget budget(100 * megabyte);
     budget.set_used(89 * megabyte);
     CHECK(budget.admits(megabyte));
-    budget.on_admitted(megabyte);
+    budget.set_used(90 * megabyte);
     CHECK_FALSE(budget.admits(1));
     CHECK_FALSE(budget.is_exceeded());
     budget.set_used(101 * megabyte);
--- a/tests/gateway/gateway_harness.hpp
+++ b/tests/gateway/gateway_harness.hpp
@@ -55,6 +55,8 @@
     std::unique_ptr<http::client_call> start(const http::client_request& request,
                                              http::response_listener& listener) override {
         this->calls.push_back({request, &listener});
+        // As a target receives it.
+        this->calls.back().request.body.append(request.shared_body);
         return std::make_unique<handle>(this->calls.back());
     }
 
--- a/tests/gateway/test_slow_readers.cpp
+++ b/tests/gateway/test_slow_readers.cpp
@@ -48,10 +48,30 @@
     CHECK(harness.call_count() == 1);
 }
 
-TEST_CASE("slow readers: an admitted request counts until the next measurement") {
+// Guards against a response that is buffered as a whole and counted only once it is complete.
+TEST_CASE("slow readers: a buffered response counts as it arrives, and no more after a failure") {
+    tests::gateway_harness harness;
+    auto& caller = harness.send("/look/a");
+    auto& call = harness.last_call();
+    call.connect();
+    call.head(200);
+    call.body(std::string(100'000, 'x'));
+    CHECK(caller.response.held >= 100'000);
+    call.fail(true);
+    harness.process_events();
+    CHECK(caller.response.held == 0);
+}
+
+// Guards against a request that goes on after the server has taken back its memory.
+TEST_CASE("slow readers: an evicted request ends its call and responds that it may have run") {
     tests::gateway_harness harness;
-    harness.memory = admission::memory_budget(80 * megabyte);
     auto& caller = harness.send("/look/a");
-    CHECK(harness.memory.used() == caller.request->held_bytes());
-    CHECK(caller.request->held_bytes() > 0);
+    harness.last_call().connect();
+    harness.last_call().head(200);
+    harness.last_call().body("begun");
+    caller.response.eviction_handler();
+    harness.process_events();
+    CHECK(caller.response.status == 502);
+    CHECK(harness.counters.memory_aborts == 1);
+    CHECK(harness.counters.failed == 1);
 }
--- a/tests/http/loopback.hpp
+++ b/tests/http/loopback.hpp
@@ -3,7 +3,7 @@
 
 #include "http/event_loop.hpp"
 #include "http/h2o_client.hpp"
-#include "http/h2o_server.hpp"
+#include "http/standalone_server.hpp"
 
 #include <functional>
 #include <optional>
@@ -49,12 +49,12 @@
 };
 
 // Starts a server on a free port of the loopback address.
-inline std::unique_ptr<http::h2o_server> serve(http::event_loop& loop,
-                                               http::exchange_handler handler,
-                                               const http::server_limits& limits = {}) {
+inline std::unique_ptr<http::standalone_server> serve(http::event_loop& loop,
+                                                      http::exchange_handler handler,
+                                                      const http::server_limits& limits = {}) {
     kernel::error reason;
-    return http::h2o_server::listen(loop, {"127.0.0.1", 0}, limits, nullptr, std::move(handler),
-                                    reason);
+    return http::standalone_server::listen(loop, {"127.0.0.1", 0}, limits, std::move(handler),
+                                           reason);
 }
 
 } // namespace samphirespool::tests
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-http::client_request request_to(const http::h2o_server& server, std::string path) {
+http::client_request request_to(const http::server& server, std::string path) {
     http::client_request request;
     request.to = {"127.0.0.1", server.port()};
     request.method = "POST";
--- a/tests/process/test_caller_limits.py
+++ b/tests/process/test_caller_limits.py
@@ -64,12 +64,23 @@
 
 
 def check_connection_limit(caller_port, limit):
+    """Connections that have begun a request are kept, and one more is refused. Those that have sent nothing make
+    room for others."""
+    begun = request_bytes("POST", CHAT, chat_body("a slow body"))[:-1]
     with contextlib.ExitStack() as connections:
-        for _ in range(limit):
-            connections.enter_context(connect(caller_port))
+        in_use = [connections.enter_context(connect(caller_port)) for _ in range(limit)]
+        for connection in in_use:
+            connection.sendall(begun)
         with connect(caller_port) as one_more:
             response = read_to_end(one_more)
         assert b" 503 " in response and b"not run" in response, response
+        for connection in in_use:
+            connection.sendall(b"}")
+            assert b" 200 " in connection.recv(65536)
+    with contextlib.ExitStack() as connections:
+        for _ in range(limit):
+            connections.enter_context(connect(caller_port))
+        assert_served(caller_port)
 
 
 def main():
--- a/tests/process/test_hostile_router.py
+++ b/tests/process/test_hostile_router.py
@@ -70,7 +70,7 @@
     with contextlib.ExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         fleet = Fleet(stack, sys.argv[1], engines=1, routers=1)
-        settings = f"max_body_bytes: {hostile.BODY_BYTES}\n"
+        settings = f"max_body_bytes: {hostile.BODY_BYTES}\nmemory_limit_mb: {hostile.MEMORY_MB}\n"
         if is_secure:
             settings += f"{'caller' if door.startswith('callers') else 'admin'}_tls: {make_keys(folder)}\n"
         fleet.start_router(1, settings, hostile.DESCRIPTORS)
--- a/tests/router/small_fleet.hpp
+++ b/tests/router/small_fleet.hpp
@@ -34,7 +34,7 @@
     std::function<void(std::unique_ptr<http::exchange>)> on_request;
     std::deque<std::unique_ptr<http::exchange>> waiting;
     std::size_t received = 0;
-    std::unique_ptr<http::h2o_server> server;
+    std::unique_ptr<http::standalone_server> server;
 };
 
 inline std::string request_id_of(const http::exchange& incoming) {
--- a/tests/store/fake_exchange.hpp
+++ b/tests/store/fake_exchange.hpp
@@ -24,6 +24,9 @@
     // read all.
     kernel::task disconnect_handler;
     kernel::task drained_handler;
+    kernel::task eviction_handler;
+    // Bytes that the handler holds besides the request.
+    std::size_t held = 0;
 };
 
 class fake_exchange final : public http::exchange {
@@ -66,6 +69,10 @@
     void on_disconnected(kernel::task work) override {
         this->response.disconnect_handler = std::move(work);
     }
+    void hold(std::size_t bytes) override { this->response.held = bytes; }
+    void on_evicted(kernel::task work) override {
+        this->response.eviction_handler = std::move(work);
+    }
 
 private:
     std::string method;
