Connections that stall within a body make room for others; refusals spread over time

Callers saw: with all connections held by requests that had stopped within their bodies, each further caller got 503 until the bodies' time was up; readiness checks could be kept out in the same way, so that a load balancer would take a sound gateway out. Callers that were refused together for want of memory were all told to come back after the same second.

Cause: only heads that had stopped were taken for stuck; checks and reads of metrics could have a body and ten seconds for it; the early refusal did not use the caller's deadline.

A request that has sent nothing for a second gives way, with 503, when connections run out. Checks and reads of metrics have no body, and one second for an empty one. Retry-After is a sixth to a third of the caller's time, as for requests that are rejected later.

--- a/src/gateway/caller_intake.cpp
+++ b/src/gateway/caller_intake.cpp
@@ -13,6 +13,8 @@
 // Of a body whose request has no limit of its own.
 constexpr helpers::duration max_body_time = std::chrono::seconds(60);
 constexpr std::size_t relay_header_bytes = 2048;
+// Callers wait for a third of the time that they have left at most.
+constexpr double max_retry_after_fraction = 0.33;
 
 http::request_limits request_limits_of(const routing::caller_limits& limits) {
     http::request_limits result;
@@ -28,12 +30,13 @@
 } // namespace
 
 caller_intake::caller_intake(table_source table, const header_names& names,
-                             gateway_counters& counters, kernel::event_sink& events,
-                             const kernel::clock& time)
+                             gateway_counters& counters, kernel::random_source& random,
+                             kernel::event_sink& events, const kernel::clock& time)
     : http::logged_policy("callers", {}, events, time),
       table(std::move(table)),
       names(names),
-      counters(counters) {}
+      counters(counters),
+      random(random) {}
 
 http::request_limits caller_intake::limits() const {
     const auto routes = this->table();
@@ -69,7 +72,11 @@
     http::head_decision result;
     const auto timeout =
         route->timeout > helpers::duration::zero() ? route->timeout : max_body_time;
-    result.body_timeout = std::min(metadata.deadline.value_or(timeout), timeout);
+    const auto time_left = std::min(metadata.deadline.value_or(timeout), timeout);
+    result.body_timeout = time_left;
+    // Spread, so that callers that are refused together do not come back together.
+    result.retry_after = std::chrono::duration_cast<helpers::duration>(
+        time_left * max_retry_after_fraction * (1 + this->random.fraction()) / 2);
     return result;
 }
 
--- a/src/gateway/caller_intake.hpp
+++ b/src/gateway/caller_intake.hpp
@@ -4,6 +4,7 @@
 #include "gateway/header_names.hpp"
 #include "gateway/proxied_request.hpp"
 #include "http/logged_policy.hpp"
+#include "kernel/random.hpp"
 #include "routing/route_table.hpp"
 
 #include <functional>
@@ -18,7 +19,8 @@
     using table_source = std::function<std::shared_ptr<const routing::route_table>()>;
 
     caller_intake(table_source table, const header_names& names, gateway_counters& counters,
-                  kernel::event_sink& events, const kernel::clock& time);
+                  kernel::random_source& random, kernel::event_sink& events,
+                  const kernel::clock& time);
 
     http::request_limits limits() const override;
     http::head_decision judge(const http::server_request& head) const override;
@@ -30,6 +32,7 @@
     table_source table;
     const header_names& names;
     gateway_counters& counters;
+    kernel::random_source& random;
 };
 
 // Requests of other gateways: the same limits, with room for the ticket.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -76,8 +76,11 @@
 // Of readiness checks and reads of the metrics, which have no body.
 http::request_limits small_request_limits() {
     http::request_limits result;
-    result.max_body_bytes = 1024;
+    result.max_body_bytes = 0;
     result.max_header_bytes = std::size_t{8} << 10;
+    result.header_timeout = std::chrono::seconds(3);
+    result.body_timeout = std::chrono::seconds(1);
+    result.body_stall_timeout = result.body_timeout;
     return result;
 }
 
@@ -135,7 +138,8 @@
                this->load_exchange}),
       memory(settings::memory_limit_mb(settings.memory_limit_mb), loop.time()),
       descriptors(http::shares_of(http::descriptor_limit(settings.max_descriptors))),
-      callers([this] { return this->fleet.table(); }, names, this->counters, events, loop.time()),
+      callers([this] { return this->fleet.table(); }, names, this->counters, this->random, events,
+              loop.time()),
       relays(this->callers, events, loop.time()),
       readiness_checks("readiness", small_request_limits(), events, loop.time()),
       metrics_reads("metrics", small_request_limits(), events, loop.time()),
--- a/src/http/intake_policy.hpp
+++ b/src/http/intake_policy.hpp
@@ -14,6 +14,8 @@
     std::optional<error_response> refusal;
     // Time to receive the body; the limits' if unset.
     std::optional<helpers::duration> body_timeout;
+    // When the caller is to try again if there is no memory; the error kind's value if unset.
+    std::optional<helpers::duration> retry_after;
 };
 
 // Why a server has refused a request that was arriving, or closed a connection.
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -125,6 +125,7 @@
     this->current = phase::receiving;
     this->is_evicted = false;
     this->is_judged = false;
+    this->retry_after.reset();
     this->phase_began_at = this->services->loop.time().now();
     this->count_held();
     if (const auto received = std::exchange(this->pending, {}); !received.empty()) {
@@ -252,10 +253,11 @@
         return false;
     }
     this->body_timeout = decision.body_timeout.value_or(this->limits.body_timeout);
+    this->retry_after = decision.retry_after;
     const auto length = this->intake.announced_length().value_or(0);
     if (!this->reserve_memory(this->intake.held() + length)) {
         this->services->memory.count_refused();
-        this->refuse({{kernel::error_kind::queue_full, "no memory for the request"}}, "no_memory");
+        this->refuse(this->no_memory(), "no_memory");
         return false;
     }
     this->intake.reserve_body(length);
@@ -317,7 +319,7 @@
     constexpr auto max_pause = std::chrono::seconds(2);
     if (this->services->loop.time().now() - this->paused_at > max_pause) {
         this->services->memory.count_refused();
-        this->refuse({{kernel::error_kind::queue_full, "no memory for the request"}}, "no_memory");
+        this->refuse(this->no_memory(), "no_memory");
         return;
     }
     if (!this->reserve_memory(this->intake.held_after(read_bytes, this->limits))) {
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -56,7 +56,7 @@
     enum class disposability : std::uint8_t {
         // Has never sent a byte.
         silent,
-        // Has sent a part of a head, and nothing for a while.
+        // Has sent a part of a request, and nothing for a while.
         stuck,
         // Has been idle for longer than callers come back after.
         outdated,
@@ -118,6 +118,9 @@
     void deliver();
     // Responds, closes the connection, and reports the event if there is one.
     void refuse(error_response response, std::string_view event);
+    // Refuses when the loop runs next, as this can be called for another connection.
+    void refuse_later(std::string_view reason);
+    error_response no_memory() const;
     void report(std::string_view reason) const;
     void note_progress(std::size_t bytes);
     void count_held();
@@ -166,6 +169,7 @@
     helpers::time_point phase_began_at;
     helpers::time_point paused_at{};
     helpers::duration body_timeout{};
+    std::optional<helpers::duration> retry_after;
     kernel::timer_id timer = 0;
 };
 
--- a/src/http/server_connection_close.cpp
+++ b/src/http/server_connection_close.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr helpers::duration eviction_retry_after = std::chrono::seconds(1);
-
 bool has_received_bytes(h2o_socket_t* socket) {
     int count = 0;
     return socket->input->size != 0 ||
@@ -107,9 +105,8 @@
     if (this->current != phase::receiving)
         return disposability::needed;
     if (!this->intake.is_idle())
-        return !this->intake.has_head() && now - this->progress_at > stuck_after
-                   ? disposability::stuck
-                   : disposability::needed;
+        return now - this->last_byte_at > stuck_after ? disposability::stuck
+                                                      : disposability::needed;
     if (has_received_bytes(this->socket))
         return disposability::needed;
     if (!this->was_used)
@@ -123,6 +120,8 @@
     this->report("closed_for_another");
     if (this->current == phase::handshake)
         h2o_socket_close(this->socket);
+    else if (!this->intake.is_idle())
+        this->refuse_later("too many connections");
     else
         this->h2o_reader(this->socket, h2o_socket_error_closed);
 }
@@ -150,20 +149,31 @@
     }
     this->intake.discard();
     this->pending = {};
-    // h2o may be about to run the reader, as this can be called for another connection.
+    this->refuse_later("no memory for the request");
+}
+
+void server_connection::refuse_later(std::string_view reason) {
+    // h2o may be about to run the reader.
     if (this->current == phase::receiving) {
         this->socket->_cb.read = on_ignored;
         h2o_socket_dont_read(this->socket, 1);
     }
     this->current = phase::refused;
     this->services->loop.cancel(this->timer);
-    this->timer = this->services->loop.schedule(helpers::duration::zero(), [this] {
-        this->timer = 0;
-        error_response response;
-        response.reason = {kernel::error_kind::queue_full, "no memory for the request"};
-        response.retry_after = eviction_retry_after;
-        this->refuse(std::move(response), "");
-    });
+    this->timer = this->services->loop.schedule(helpers::duration::zero(),
+                                                [this, text = std::string(reason)] {
+                                                    this->timer = 0;
+                                                    auto response = this->no_memory();
+                                                    response.reason.detail = text;
+                                                    this->refuse(std::move(response), "");
+                                                });
+}
+
+error_response server_connection::no_memory() const {
+    error_response response;
+    response.reason = {kernel::error_kind::queue_full, "no memory for the request"};
+    response.retry_after = this->retry_after;
+    return response;
 }
 
 } // namespace samphirespool::http
