--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -6,7 +6,6 @@
 #include "http/request_head.hpp"
 
 #include <h2o/http1.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 
