A caller's time runs from the first byte of its request; bytes behind an interim response are kept

Now that a body may take as long as its route lets it, a deadline that is counted from its last byte would hand a target more time than the caller has. Requests have arrived with their first byte.

Bytes of a further request that arrived while the interim response to the one before was still being written replaced those that were read with it, so that requests sent in a row could be lost. Nothing is read until the request is delivered.

Evidence: tests/http/test_intake.cpp, "a request has arrived with its first byte" and "requests behind one that expects an interim response".

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -334,7 +334,8 @@
         incoming->respond(unavailable, {{std::string(relay_fields::refused), "not ready"}}, "");
         return;
     }
-    this->start_request(std::move(incoming), this->loop.time().now(), std::move(ticket));
+    const auto arrived = incoming->arrived_at().value_or(this->loop.time().now());
+    this->start_request(std::move(incoming), arrived, std::move(ticket));
 }
 
 void gateway::start_request(std::unique_ptr<http::exchange> incoming, helpers::time_point arrived,
--- a/src/gateway/startup_queue.cpp
+++ b/src/gateway/startup_queue.cpp
@@ -27,12 +27,13 @@
 }
 
 void startup_queue::submit(std::unique_ptr<http::exchange> incoming) {
-    const auto now = this->loop.time().now();
+    // A caller's time includes that in which its body arrives.
+    const auto arrived = incoming->arrived_at().value_or(this->loop.time().now());
     if (this->queue.empty() && this->is_startup_finished()) {
-        this->forward_request(std::move(incoming), now);
+        this->forward_request(std::move(incoming), arrived);
         return;
     }
-    auto& added = this->queue.emplace_back(held_request{std::move(incoming), now});
+    auto& added = this->queue.emplace_back(held_request{std::move(incoming), arrived});
     added.request->on_disconnected([&added] { added.disconnected = true; });
     if (this->timer == 0)
         this->timer = this->loop.schedule(check_interval, [this] { this->check_startup(); });
--- a/src/http/h2o_exchange.cpp
+++ b/src/http/h2o_exchange.cpp
@@ -13,12 +13,14 @@
 
 } // namespace
 
-h2o_exchange::h2o_exchange(h2o_req_t& request, response_stream& stream, std::string body)
+h2o_exchange::h2o_exchange(h2o_req_t& request, response_stream& stream, std::string body,
+                           helpers::time_point arrived)
     : stream(&stream),
       method(to_string(request.input.method)),
       authority(to_string(request.input.authority)),
       target(to_string(request.input.path)),
-      body(std::move(body)) {
+      body(std::move(body)),
+      arrived(arrived) {
     this->headers.reserve(request.headers.size);
     for (std::size_t i = 0; i < request.headers.size; ++i) {
         const auto& field = request.headers.entries[i];
--- a/src/http/h2o_exchange.hpp
+++ b/src/http/h2o_exchange.hpp
@@ -5,6 +5,7 @@
 #include "http/response_stream.hpp"
 #include "http/server.hpp"
 
+#include <optional>
 #include <string>
 
 namespace samphirespool::http {
@@ -12,12 +13,14 @@
 class h2o_exchange final : public exchange, private response_stream::owner {
 public:
     // Takes over the body, which h2o does not have.
-    h2o_exchange(h2o_req_t& request, response_stream& stream, std::string body);
+    h2o_exchange(h2o_req_t& request, response_stream& stream, std::string body,
+                 helpers::time_point arrived);
     ~h2o_exchange() override;
     h2o_exchange(const h2o_exchange&) = delete;
     h2o_exchange& operator=(const h2o_exchange&) = delete;
 
     server_request request() const override;
+    std::optional<helpers::time_point> arrived_at() const override { return this->arrived; }
     void respond(int status, header_list headers, std::string_view body) override;
     void begin(int status, header_list headers) override;
     void write(std::span<const char> data) override;
@@ -45,6 +48,7 @@
     // Path and query.
     std::string target;
     std::string body;
+    helpers::time_point arrived;
     header_list headers;
     kernel::task drained_handler;
     kernel::task disconnect_handler;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <limits>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string_view>
 
@@ -32,6 +33,8 @@
 public:
     virtual ~exchange() = default;
     virtual server_request request() const = 0;
+    // When the first byte of the request arrived, if that is known.
+    virtual std::optional<helpers::time_point> arrived_at() const { return std::nullopt; }
 
     // Sends a response with a complete body.
     virtual void respond(int status, header_list headers, std::string_view body) = 0;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -218,6 +218,7 @@
     if (this->intake.is_idle()) {
         this->limits = this->services->policy.limits();
         this->phase_began_at = this->services->loop.time().now();
+        this->first_byte_at = this->phase_began_at;
         this->was_used = true;
     }
     this->note_progress(data.size());
@@ -229,7 +230,10 @@
         }
         if (progress == request_intake::progress::complete) {
             this->pending = data;
-            if (!this->is_writing_continue)
+            // The request is delivered once the interim response was written.
+            if (this->is_writing_continue)
+                h2o_socket_read_stop(this->socket);
+            else
                 this->deliver();
             return false;
         }
@@ -352,13 +356,16 @@
 
 void server_connection::take_decrypted() {
     auto& input = this->socket->input;
+    if (input->size == 0)
+        return;
     this->pending.append(input->bytes, input->size);
     h2o_buffer_consume(&input, input->size);
 }
 
 void server_connection::handle(h2o_req_t& request) {
     auto* stream = response_stream::attach(request, this->services->loop, *this);
-    auto incoming = std::make_unique<h2o_exchange>(request, *stream, std::move(this->body));
+    auto incoming = std::make_unique<h2o_exchange>(request, *stream, std::move(this->body),
+                                                   this->first_byte_at);
     if (this->refusal) {
         incoming->close_connection_after();
         this->services->lingering.linger(h2o_socket_get_fd(this->socket));
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -165,6 +165,8 @@
     std::size_t bytes_since_progress = 0;
     helpers::time_point progress_at;
     helpers::time_point last_byte_at;
+    // Of the current request.
+    helpers::time_point first_byte_at{};
     // Start of the handshake, of the idle time, of the head or of the body.
     helpers::time_point phase_began_at;
     helpers::time_point paused_at{};
--- a/tests/http/test_intake.cpp
+++ b/tests/http/test_intake.cpp
@@ -58,6 +58,7 @@
             {this->loop, this->policy, this->account}, {"127.0.0.1", 0}, limits,
             [this](std::unique_ptr<http::exchange> incoming) {
                 this->bodies.emplace_back(incoming->request().body);
+                this->arrived_at = incoming->arrived_at();
                 this->held_in_handler = this->account.used();
                 if (this->keeps)
                     this->kept.push_back(std::move(incoming));
@@ -89,6 +90,7 @@
     std::list<raw_caller> callers;
     std::vector<std::string> bodies;
     std::list<std::unique_ptr<http::exchange>> kept;
+    std::optional<helpers::time_point> arrived_at;
     std::size_t held_in_handler = 0;
     bool keeps = false;
 };
@@ -251,6 +253,31 @@
     CHECK(this->server->connections() == 2);
 }
 
+// Guards against targets that are handed time which the caller has used up for sending its body.
+TEST_CASE_FIXTURE(intake_fixture, "intake: a request has arrived with its first byte") {
+    this->start();
+    auto& caller = this->connect();
+    caller.send("POST /a HTTP/1.1\r\n");
+    run_until(this->loop, [&] { return this->account.used() > 0; });
+    const auto begun = this->loop.time().now();
+    run_until(this->loop, [&] { return this->loop.time().now() > begun + 300ms; });
+    caller.send("Host: a\r\nContent-Length: 5\r\n\r\nhello");
+    this->wait_for(caller, "ok");
+    REQUIRE(this->arrived_at);
+    CHECK(*this->arrived_at <= begun);
+}
+
+// Guards against bytes that arrive while an interim response is written and are lost.
+TEST_CASE_FIXTURE(intake_fixture, "intake: requests behind one that expects an interim response") {
+    this->start();
+    auto& caller = this->connect();
+    caller.send(head("Expect: 100-continue\r\nContent-Length: 5") + "hel");
+    this->wait_for(caller, "100 Continue");
+    caller.send("lo" + head("Content-Length: 6") + "second" + head("Content-Length: 5") + "third");
+    run_until(this->loop, [&] { return this->bodies.size() == 3; });
+    CHECK(this->bodies == std::vector<std::string>{"hello", "second", "third"});
+}
+
 TEST_CASE_FIXTURE(intake_fixture, "intake: a head and a body each have their time") {
     this->policy.fixed.header_timeout = 500ms;
     this->policy.fixed.body_timeout = 10s;
