--- a/src/http/h2o_server.cpp
+++ b/src/http/h2o_server.cpp
@@ -154,9 +154,9 @@
 void h2o_server::stop_accepting() {
     if (this->listener == nullptr)
         return;
-    this->services.loop.cancel(this->accept_timer);
     // The kernel resets connections that are still in the accept queue when the listener closes.
     this->accept_pending(std::numeric_limits<int>::max());
+    this->services.loop.cancel(this->accept_timer);
     h2o_socket_close(std::exchange(this->listener, nullptr));
     this->state->context.shutdown_requested = 1;
     for (auto& each : this->state->open)
--- a/src/http/h2o_server.hpp
+++ b/src/http/h2o_server.hpp
@@ -44,9 +44,9 @@
     bool has_unanswered() const;
     std::size_t connections() const { return this->state->open.size(); }
     // Connections that were refused because too many were open.
-    const std::uint64_t& refused_connections() const { return this->refused; }
+    std::uint64_t refused_connections() const { return this->refused; }
     // Connections that were closed to make room for new ones.
-    const std::uint64_t& replaced_connections() const { return this->replaced; }
+    std::uint64_t replaced_connections() const { return this->replaced; }
 
 private:
     // Passes requests from h2o to the server.
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -209,7 +209,6 @@
     });
 }
 
-// A connection that has sent nothing yet holds nothing.
 bool server_connection::reserve_memory(std::size_t bytes) {
     return this->services->memory.try_hold(*this, this->total_held() - this->intake.held() + bytes);
 }
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -102,6 +102,7 @@
     // Returns whether the connection goes on receiving.
     bool process(std::string_view data);
     bool judge();
+    // Makes room for so many bytes of the request that is arriving. Returns whether there is any.
     bool reserve_memory(std::size_t bytes);
     void pause();
     void retry_paused();
@@ -138,6 +139,7 @@
     // Null once the server was destroyed.
     connection_services* services;
     h2o_socket_t* socket;
+    // In the list of open connections.
     std::list<server_connection>::iterator place;
     h2o_accept_ctx_t* accept_context = nullptr;
     phase current = phase::handshake;
@@ -152,12 +154,14 @@
     // Of the request that h2o has, until it is handled.
     std::string body;
     std::optional<error_response> refusal;
-    // The head was complete, and its body was not, when it was last looked at.
+    // The head of the current request was judged before its body was complete.
     bool is_judged = false;
     // The receive buffer is larger than usual.
     bool is_wide = false;
     bool is_writing_continue = false;
+    // Has sent a byte of a request.
     bool was_used = false;
+    // Nothing more is counted for the current request.
     bool is_evicted = false;
     // Memory of the request that h2o or the handler has, and what the handler holds besides.
     std::size_t request_bytes = 0;
--- a/tests/gateway/test_gateway_parts.cpp
+++ b/tests/gateway/test_gateway_parts.cpp
@@ -80,6 +80,26 @@
     }
 }
 
+TEST_CASE("gateway settings: limits of memory and descriptors have defaults and bounds") {
+    std::vector<kernel::error> faults;
+    const auto defaults = settings::read_gateway_settings(valid_settings, faults);
+    REQUIRE(defaults);
+    CHECK(defaults->receive_buffer == 8192);
+    CHECK(defaults->max_descriptors == 0);
+    CHECK(defaults->max_connections == 2000);
+    const std::string text(valid_settings);
+    const auto read = settings::read_gateway_settings(
+        text + "receive_buffer: 4096\nmax_descriptors: 64\n", faults);
+    REQUIRE(read);
+    CHECK(read->receive_buffer == 4096);
+    CHECK(read->max_descriptors == 64);
+    CHECK_FALSE(settings::read_gateway_settings(
+        text + "receive_buffer: 4095\nmax_descriptors: 63\n", faults));
+    REQUIRE(faults.size() == 2);
+    CHECK(faults[0].detail.starts_with("receive_buffer: must be 4096 to"));
+    CHECK(faults[1].detail.starts_with("max_descriptors: must be 64"));
+}
+
 TEST_CASE("gateway settings: unknown keys are ignored, and errors name their key") {
     std::vector<kernel::error> faults;
     const auto read = settings::read_gateway_settings(valid_settings, faults);
--- a/tests/process/support/hostile.py
+++ b/tests/process/support/hostile.py
@@ -5,7 +5,6 @@
 import re
 import subprocess
 import sys
-import time
 
 from process_memory import Meter
 
@@ -127,16 +126,3 @@
         print(f"{script} {case}: {verdict}{note}", flush=True)
         failed = failed or (is_red and not listed)
     sys.exit(1 if failed else 0)
-
-
-def wait_until(is_reached, seconds):
-    end = time.monotonic() + seconds
-    while not is_reached():
-        if time.monotonic() > end:
-            return False
-        time.sleep(0.1)
-    return True
-
-
-__all__ = ["BODY_BYTES", "CROWD_SECONDS", "CrowdProcess", "DESCRIPTORS", "MANY", "MEMORY_MB", "Meter", "Verdict", "crowds",
-           "head", "run_cases", "wait_until", "ANSWER_SECONDS"]
--- a/tests/settings/test_router_settings.cpp
+++ b/tests/settings/test_router_settings.cpp
@@ -96,7 +96,10 @@
                              "seed: 2\n"
                              "admin_tls: {key_file: k, cert: c}\n"
                              "admin_tokens: [{name: x, token_hash: 12, role: root}]\n"
-                             "seeds: 127.0.0.1:1\n";
+                             "seeds: 127.0.0.1:1\n"
+                             "receive_buffer: 1KiB\n"
+                             "memory_limit_mb: 8\n"
+                             "max_descriptors: 10\n";
     std::vector<kernel::error> faults;
     CHECK_FALSE(settings::read_router_settings(text, faults));
     for (const auto* expected :
@@ -107,9 +110,11 @@
           "line 9, column 17: max_body_bytes:", "line 11, column 18: max_connections:",
           "line 12, column 1: max_conections: unknown name", "line 14, column 1: seed: given twice",
           "admin_tls.cert: unknown name", "admin_tls.certificate_file: is required",
-          "token_hash must be", "role must be", "line 17, column 8: seeds: must be a list"})
+          "token_hash must be", "role must be", "line 17, column 8: seeds: must be a list",
+          "line 18, column 17: receive_buffer: must be a size from 4KiB to 1MiB",
+          "line 19, column 18: memory_limit_mb:", "line 20, column 18: max_descriptors:"})
         CHECK_MESSAGE(reports(faults, expected), expected);
-    CHECK(faults.size() == 16);
+    CHECK(faults.size() == 19);
     CHECK(faults.front().kind == kernel::error_kind::invalid_settings);
 }
 
