--- a/scripts/gatewaylib/faults.py
+++ b/scripts/gatewaylib/faults.py
@@ -171,6 +171,8 @@
 
 async def store_link_fails(context):
     gateway = _pick_idle(context, context.fleet.gateways)
+    if gateway is None:
+        return
     mode = context.rng.choice(("refuse", "silent", "silent_to", "silent_from", "delay"))
 
     async def apply():
@@ -186,6 +188,8 @@
 
 async def target_link_fails(context):
     target = _pick_idle(context, context.targets)
+    if target is None:
+        return
     mode = context.rng.choice(("refuse", "silent", "silent_to", "silent_from", "delay"))
 
     async def apply():
@@ -218,6 +222,8 @@
 
 async def connections_reset(context):
     target = _pick_idle(context, context.targets)
+    if target is None:
+        return
 
     async def apply():
         target.proxy.reset_all()
@@ -230,6 +236,8 @@
 
 async def target_misbehaves(context):
     target = _pick_idle(context, context.targets)
+    if target is None:
+        return
     fault = context.rng.choice(("shed", "lost", "cut", "mute", "extra", "interim", "bad_length"))
 
     async def apply():
@@ -259,6 +267,8 @@
 
 async def target_crashes(context):
     target = _pick_idle(context, context.targets)
+    if target is None:
+        return
 
     async def apply():
         target.crash()
@@ -274,6 +284,8 @@
 async def target_leaves(context):
     """Planned: a replacement starts first, and the removed target goes on serving for a while."""
     target = _pick_idle(context, context.targets)
+    if target is None:
+        return
     context.targets.remove(target)
     await context.add_target(target.service, target.data_centre)
     target.is_leaving = True
