--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -7,20 +7,6 @@
 
 namespace samphirespool::admin {
 
-namespace {
-
-http::request_limits request_limits_of(const settings::router_settings& settings) {
-    http::request_limits limits;
-    limits.max_body_bytes = admin_server::max_body_bytes;
-    limits.header_timeout = settings.request_timeout;
-    limits.body_timeout = settings.request_timeout;
-    limits.body_stall_timeout = settings.request_timeout;
-    limits.idle_timeout = settings.idle_timeout;
-    return limits;
-}
-
-} // namespace
-
 admin_intake::admin_intake(const settings::router_settings& settings,
                            const http::request_limits& limits, kernel::event_sink& events,
                            const kernel::clock& time)
@@ -43,7 +29,10 @@
       events(context.events),
       memory(memory),
       handler(context, settings.admin_tokens),
-      intake(settings, request_limits_of(settings), context.events, loop.time()) {
+      intake(settings,
+             http::limits_with_timeouts(max_body_bytes, settings.request_timeout,
+                                        settings.idle_timeout),
+             context.events, loop.time()) {
     if (settings.admin_tls)
         this->keys.emplace(settings.admin_tls->certificate_file, settings.admin_tls->key_file);
 }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -85,6 +85,19 @@
     helpers::duration idle_timeout = std::chrono::seconds(60);
 };
 
+// Limits with the same time for a head, a body, and a pause within a body.
+inline request_limits limits_with_timeouts(std::size_t max_body_bytes,
+                                           helpers::duration request_timeout,
+                                           helpers::duration idle_timeout) {
+    request_limits result;
+    result.max_body_bytes = max_body_bytes;
+    result.header_timeout = request_timeout;
+    result.body_timeout = request_timeout;
+    result.body_stall_timeout = request_timeout;
+    result.idle_timeout = idle_timeout;
+    return result;
+}
+
 struct server_limits {
     request_limits request;
     // Limits the time that a write to the connection may take, and the time that a connection is
--- a/src/router/caller_server.cpp
+++ b/src/router/caller_server.cpp
@@ -14,21 +14,15 @@
 // For the responses to requests that were read last.
 constexpr auto max_farewell = std::chrono::milliseconds(500);
 
-http::request_limits request_limits_of(const settings::router_settings& settings) {
-    http::request_limits limits;
-    limits.max_body_bytes = settings.max_body_bytes;
-    limits.header_timeout = settings.request_timeout;
-    limits.body_timeout = settings.request_timeout;
-    limits.body_stall_timeout = settings.request_timeout;
-    limits.idle_timeout = settings.idle_timeout;
-    return limits;
-}
-
 } // namespace
 
 caller_intake::caller_intake(const settings::router_settings& settings, request_handler& requests,
                              kernel::event_sink& events, const kernel::clock& time)
-    : http::logged_policy("callers", request_limits_of(settings), events, time),
+    : http::logged_policy("callers",
+                          http::limits_with_timeouts(settings.max_body_bytes,
+                                                     settings.request_timeout,
+                                                     settings.idle_timeout),
+                          events, time),
       requests(requests) {}
 
 http::head_decision caller_intake::judge(const http::server_request& head) const {
