Refused callers that are still sending may all read that their request has not run

Callers saw: of 82 that send legal bodies at once to a gateway with 512 descriptors, 22 had their connection reset and did not learn that their request had not run (test_slow_bodies.py, 1 run: 28 answered, 32 refused, 22 nothing).

Cause: an eighth of the connections could linger after a refusal, 32 of 256; the kernel resets the others, as their callers still send.

Half of the connections may linger now, as far as their descriptors are not among those kept for targets, peers and the store.

--- a/src/http/h2o_server.cpp
+++ b/src/http/h2o_server.cpp
@@ -23,7 +23,7 @@
 constexpr int accepts_per_wakeup = 64;
 constexpr auto accept_pause = std::chrono::milliseconds(100);
 // The part (1/n) of the connections that may linger after a refusal.
-constexpr std::size_t lingering_divisor = 8;
+constexpr std::size_t lingering_divisor = 2;
 // h2o's own timeout of a request, which is kept from h2o until it is complete.
 constexpr std::uint64_t unused_timeout_ms = 24ULL * 3'600'000;
 constexpr auto sweep_interval = std::chrono::seconds(1);
@@ -99,7 +99,8 @@
 h2o_server::h2o_server(const server_context& context, const server_limits& limits,
                        exchange_handler handler, int descriptor)
     : keys(context.keys),
-      lingering(context.loop, std::max<std::size_t>(1, limits.max_connections / lingering_divisor)),
+      lingering(context.loop, std::max<std::size_t>(1, limits.max_connections / lingering_divisor),
+                limits.reserved_from),
       services{context.loop,     limits,          context.policy,
                context.memory,   this->lingering, std::move(handler),
                this->state->open},
--- a/src/http/lingering_close.cpp
+++ b/src/http/lingering_close.cpp
@@ -56,6 +56,10 @@
     const int copy = dup(descriptor);
     if (copy < 0)
         return;
+    if (static_cast<std::size_t>(copy) >= this->reserved_from) {
+        close(copy);
+        return;
+    }
     const auto now = this->loop.time().now();
     this->open.push_back({copy, now + linger_time, now + silent_time, max_discarded});
     if (this->timer == 0)
--- a/src/http/lingering_close.hpp
+++ b/src/http/lingering_close.hpp
@@ -11,8 +11,10 @@
 
 class lingering_close {
 public:
-    // At most `max_open` connections linger at the same time.
-    lingering_close(kernel::loop& loop, std::size_t max_open) : loop(loop), max_open(max_open) {}
+    // At most `max_open` connections linger at the same time, and none whose descriptor has the
+    // number `reserved_from` or a larger one.
+    lingering_close(kernel::loop& loop, std::size_t max_open, std::size_t reserved_from)
+        : loop(loop), max_open(max_open), reserved_from(reserved_from) {}
     ~lingering_close();
     lingering_close(const lingering_close&) = delete;
     lingering_close& operator=(const lingering_close&) = delete;
@@ -35,6 +37,7 @@
 
     kernel::loop& loop;
     std::size_t max_open;
+    std::size_t reserved_from;
     std::list<lingering> open;
     kernel::timer_id timer = 0;
 };
