Responses are judged line by line before any of them is believed

Callers received answers with the status 000 (099, 600, 999, 101), answers with continuation lines, interim heads or trailers outside the grammar, and chunks in HTTP/1.0, as answers of their target. The connection that had carried them was used for further requests.

Cause: the check in front of h2o's parser looked at control characters and two framing fields of a head only, not at its status line or at the names of its fields, took a line that begins with a blank for a field, judged an interim head only if it said HTTP/1.1, and never saw the field names of trailers. h2o accepts such lines. The head was also scanned again with each piece received.

Change: response_reader judges each line once, as it arrives, by RFC 9110 and 9112: status line (three digits, 100 to 599, not 101), field lines without continuation, framing fields, interim heads, chunks, trailers. h2o reads the head only after all of it was judged. A fault has a kind of a closed list, fails the call as possibly sent and closes the connection; bytes behind a head without a body keep the connection out of the pool. Listeners can discard a connection too.

The checks of has_malformed_head in tests/http/test_heads.cpp are now checks of response_reader on the same bytes, whole and in pieces. One has changed: a malformed length is now reported at the end of its line, where the earlier function waited for the end of the head.

--- a/src/http/framing_lines.hpp
+++ b/src/http/framing_lines.hpp
@@ -51,6 +51,33 @@
            (version == http_1_0 || version == http_1_1);
 }
 
+struct status_line {
+    int status = 0;
+    bool is_http_1_0 = false;
+};
+
+// Parses a line without control characters other than tabs; nothing unless it is a status line of
+// HTTP/1.x: the version, three digits and the reason, which may be empty, with one space between
+// them (RFC 9112, section 4).
+inline std::optional<status_line> parse_status_line(std::string_view line) {
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::string_view form = "HTTP/1.x 200 ";
+    constexpr std::size_t status_start = 9;
+    const auto is_digit = [&](std::size_t at) { return line[at] >= '0' && line[at] <= '9'; };
+    if (line.size() < form.size() || !line.starts_with(version) || !is_digit(version.size()) ||
+        line[status_start - 1] != ' ' || line[form.size() - 1] != ' ')
+        return std::nullopt;
+    status_line result;
+    constexpr int decimal = 10;
+    for (auto at = status_start; at < form.size() - 1; ++at) {
+        if (!is_digit(at))
+            return std::nullopt;
+        result.status = result.status * decimal + (line[at] - '0');
+    }
+    result.is_http_1_0 = line.starts_with(http_1_0);
+    return result;
+}
+
 // A number without sign, prefix or spaces that fits 64 bits with certainty; nothing otherwise.
 inline std::optional<std::uint64_t> parse_digits(std::string_view text, std::size_t max_digits,
                                                  int base) {
--- a/src/http/h2o_call.cpp
+++ b/src/http/h2o_call.cpp
@@ -1,8 +1,6 @@
 // Runs one request on h2o's client, with timeouts, pausing and cancellation.
 #include "http/h2o_call.hpp"
 
-#include "http/response_head.hpp"
-
 #include <sys/socket.h>
 
 #include <cstring>
@@ -12,19 +10,23 @@
 
 namespace {
 
-// Of a response, including the interim responses before it.
-constexpr std::size_t max_head_bytes = std::size_t{64} << 10;
 constexpr std::size_t narrow_receive_buffer_bytes = std::size_t{64} << 10;
 
 helpers::duration or_default(helpers::duration requested, helpers::duration fallback) {
     return requested == helpers::duration::zero() ? fallback : requested;
 }
 
+std::string describe(kernel::response_fault fault) {
+    return "the response is malformed: " + std::string(kernel::to_string(fault));
+}
+
 } // namespace
 
-h2o_call::h2o_call(event_loop& loop, const client_limits& limits, const client_request& request,
+h2o_call::h2o_call(event_loop& loop, const client_limits& limits,
+                   kernel::response_fault_counts& faults, const client_request& request,
                    response_listener& listener)
     : loop(loop),
+      faults(faults),
       listener(listener),
       to(request.to),
       is_head_method(request.method == "HEAD"),
@@ -33,7 +35,9 @@
       idle_timeout(or_default(request.idle_timeout, limits.idle_timeout)),
       started(loop.time().now()),
       echoed{request.echoed_field,
-             std::string(find_header(request.headers, request.echoed_field).value_or(""))} {
+             std::string(find_header(request.headers, request.echoed_field).value_or(""))},
+      max_body_bytes(request.max_body_bytes),
+      reader(request.method == "HEAD") {
     this->serialize(request);
 }
 
@@ -106,11 +110,13 @@
         this->fail(kernel::error_kind::answer_truncated, "the response body stalled");
 }
 
-void h2o_call::fail(kernel::error_kind kind, std::string detail) {
+void h2o_call::fail(kernel::error_kind kind, std::string detail, kernel::response_fault fault) {
     const bool maybe_sent = this->current_phase != phase::connecting;
     this->current_phase = phase::finished;
     this->loop.cancel(std::exchange(this->timer, 0));
-    this->listener.on_failed({kind, helpers::to_string(this->to) + ": " + std::move(detail)},
+    if (fault != kernel::response_fault::none)
+        this->faults.add(fault);
+    this->listener.on_failed({kind, helpers::to_string(this->to) + ": " + std::move(detail), fault},
                              maybe_sent);
 }
 
@@ -173,34 +179,36 @@
 
 void h2o_call::on_head_readable(h2o_socket_t* socket, const char* error) {
     auto& self = call_of(socket);
-    if (error != nullptr)
+    if (error != nullptr) {
         self.cancel_and_fail(kernel::error_kind::connection_lost,
-                             "the connection ended before the answer");
-    else if (self.exceeds_head_limit(*socket))
-        self.cancel_and_fail(kernel::error_kind::target_failed, "the response head is too large");
-    else if (has_malformed_head({socket->input->bytes, socket->input->size}))
-        self.cancel_and_fail(kernel::error_kind::target_failed, "the response head is malformed");
-    else if (!self.is_body_start_valid({socket->input->bytes, socket->input->size}))
-        self.cancel_and_fail(kernel::error_kind::target_failed, "a chunk is malformed");
-    else
+                             "the connection ended before the answer",
+                             socket->input->size == 0 ? kernel::response_fault::none
+                                                      : kernel::response_fault::cut_in_head);
+        return;
+    }
+    if (!self.judge_received(*socket))
+        return;
+    if (self.reader.has_head())
         self.h2o_head_reader(socket, nullptr);
+    else
+        self.listener.on_head_bytes(socket->input->capacity);
 }
 
-bool h2o_call::is_body_start_valid(std::string_view received) {
-    const auto body = this->is_head_method ? std::nullopt : find_chunked_body(received);
-    return !body || this->chunks.append(*body);
-}
-
-bool h2o_call::exceeds_head_limit(const h2o_socket_t& socket) {
-    this->head_bytes += socket.bytes_read;
-    return this->head_bytes > max_head_bytes &&
-           !has_complete_head({socket.input->bytes, socket.input->size});
+bool h2o_call::judge_received(const h2o_socket_t& socket) {
+    const auto& input = *socket.input;
+    const auto judged = std::exchange(this->judged_bytes, input.size);
+    const auto fault = this->reader.append({input.bytes + judged, input.size - judged});
+    if (fault == kernel::response_fault::none)
+        return true;
+    this->cancel_and_fail(kernel::error_kind::target_failed, describe(fault), fault);
+    return false;
 }
 
-void h2o_call::cancel_and_fail(kernel::error_kind kind, std::string detail) {
+void h2o_call::cancel_and_fail(kernel::error_kind kind, std::string detail,
+                               kernel::response_fault fault) {
     if (auto* cancelled_client = std::exchange(this->native, nullptr))
         h2o_http1client_cancel(cancelled_client);
-    this->fail(kind, std::move(detail));
+    this->fail(kind, std::move(detail), fault);
 }
 
 h2o_http1client_body_cb h2o_call::on_head(h2o_http1client_t* native, const char* error, int,
@@ -211,9 +219,11 @@
     callback_scope callback(*self);
     if (error != nullptr && !is_complete) {
         self->native = nullptr;
-        self->fail(kernel::error_kind::target_failed, error);
+        // The reader has accepted the head, so h2o was given more fields than it reads.
+        self->fail(kernel::error_kind::target_failed, error, kernel::response_fault::head_size);
         return nullptr;
     }
+    self->judged_bytes = 0;
     self->current_phase = phase::reading_body;
     self->last_progress = self->loop.time().now();
     self->start_timer(self->idle_timeout);
@@ -222,28 +232,21 @@
     for (std::size_t i = 0; i < count; ++i)
         received.push_back({std::string(headers[i].name->base, headers[i].name->len),
                             std::string(headers[i].value.base, headers[i].value.len)});
-    self->is_chunked = http::find_header(received, "transfer-encoding").has_value();
-    self->ends_by_close =
-        !self->is_chunked && !http::find_header(received, "content-length").has_value();
-    if (!self->echoed.name.empty() &&
-        find_header(received, self->echoed.name) != self->echoed.value)
-        // h2o closes a connection that has no pool.
-        native->sockpool.pool = nullptr;
-    const bool body_follows =
-        !is_complete && native->sock->input->size > static_cast<std::size_t>(header_bytes);
+    const bool bytes_follow = native->sock->input->size > static_cast<std::size_t>(header_bytes);
+    if ((is_complete && bytes_follow) ||
+        (!self->echoed.name.empty() &&
+         find_header(received, self->echoed.name) != self->echoed.value))
+        self->discard_connection();
     self->listener.on_head(status, received);
     if (callback.call_destroyed)
         return nullptr;
     if (is_complete) {
-        self->native = nullptr;
-        self->current_phase = phase::finished;
-        self->loop.cancel(std::exchange(self->timer, 0));
-        self->listener.on_done();
+        self->complete();
         return nullptr;
     }
     // h2o installs its reader after this function has returned. If body bytes were already received
     // it calls on_body directly.
-    if ((self->is_chunked || self->ends_by_close) && !body_follows)
+    if (self->is_body_intercepted() && !bytes_follow)
         self->intercept_timer = self->loop.schedule(helpers::duration::zero(), [self] {
             self->intercept_timer = 0;
             self->intercept_body();
@@ -262,14 +265,11 @@
 void h2o_call::on_body_readable(h2o_socket_t* socket, const char* error) {
     auto* self = static_cast<h2o_call*>(static_cast<h2o_http1client_t*>(socket->data)->data);
     const auto reader = self->h2o_body_reader;
-    if (self->is_chunked && socket->bytes_read != 0) {
-        const auto& input = *socket->input;
-        const auto count = std::min(socket->bytes_read, input.size);
-        if (!self->chunks.append({input.bytes + input.size - count, count})) {
-            self->cancel_and_fail(kernel::error_kind::target_failed, "a chunk is malformed");
-            return;
-        }
-    }
+    const auto& input = *socket->input;
+    self->judged_bytes = input.size - std::min(socket->bytes_read, input.size);
+    if (!self->judge_received(*socket))
+        return;
+    const bool is_chunked = self->reader.end() == response_reader::body_end::chunks;
     if (error != nullptr && socket->bytes_read != 0) {
         // Data and the end of the connection were received together. h2o would not decode the data,
         // so the reader first runs without the error.
@@ -284,7 +284,7 @@
         socket->bytes_read = 0;
     }
     // The end of the connection completes a response without a length, but a reset does not.
-    self->closed_early = error != nullptr && (self->is_chunked || error != h2o_socket_error_closed);
+    self->closed_early = error != nullptr && (is_chunked || error != h2o_socket_error_closed);
     reader(socket, error);
 }
 
@@ -298,29 +298,58 @@
         const auto size = input->size;
         if (size > narrow_receive_buffer_bytes)
             self->narrow_receive_buffer();
+        self->body_bytes += size;
+        if (self->max_body_bytes != 0 && self->body_bytes > self->max_body_bytes) {
+            native->sockpool.pool = nullptr;
+            self->native = nullptr;
+            self->fail(kernel::error_kind::target_failed, "the response body is too large",
+                       kernel::response_fault::body_size);
+            return -1;
+        }
         self->listener.on_body({input->bytes, size});
         if (callback.call_destroyed)
             return -1;
         h2o_buffer_consume(&native->sock->input, size);
     }
     if (error == nullptr) {
-        if (self->is_chunked || self->ends_by_close)
+        if (self->is_body_intercepted())
             self->intercept_body();
         if (self->paused && self->paused_reader == nullptr)
             self->pause();
         return 0;
     }
-    self->native = nullptr;
     if (error != h2o_http1client_error_is_eos || self->closed_early) {
-        self->fail(kernel::error_kind::answer_truncated, "the connection ended within the answer");
+        self->native = nullptr;
+        self->fail(kernel::error_kind::answer_truncated, "the connection ended within the answer",
+                   kernel::response_fault::cut_in_body);
         return -1;
     }
-    self->current_phase = phase::finished;
-    self->loop.cancel(std::exchange(self->timer, 0));
-    self->listener.on_done();
+    self->complete();
     return 0;
 }
 
+void h2o_call::complete() {
+    this->completed = std::exchange(this->native, nullptr);
+    this->current_phase = phase::finished;
+    this->loop.cancel(std::exchange(this->timer, 0));
+    // The listener may destroy the call.
+    auto* const current_scope = this->scope;
+    this->listener.on_done();
+    if (!current_scope->call_destroyed)
+        this->completed = nullptr;
+}
+
+// h2o closes a connection that has no pool.
+void h2o_call::discard_connection() {
+    if (auto* client = this->native != nullptr ? this->native : this->completed)
+        client->sockpool.pool = nullptr;
+}
+
+bool h2o_call::is_body_intercepted() const {
+    const auto end = this->reader.end();
+    return end == response_reader::body_end::chunks || end == response_reader::body_end::close;
+}
+
 void h2o_call::pause() {
     this->paused = true;
     if (this->native == nullptr || this->native->sock == nullptr ||
--- a/src/http/h2o_call.hpp
+++ b/src/http/h2o_call.hpp
@@ -3,7 +3,7 @@
 
 #include "http/client.hpp"
 #include "http/h2o_client.hpp"
-#include "http/message_framing.hpp"
+#include "http/response_reader.hpp"
 
 #include <array>
 #include <string>
@@ -12,8 +12,8 @@
 
 class h2o_call final : public client_call {
 public:
-    h2o_call(event_loop& loop, const client_limits& limits, const client_request& request,
-             response_listener& listener);
+    h2o_call(event_loop& loop, const client_limits& limits, kernel::response_fault_counts& faults,
+             const client_request& request, response_listener& listener);
     ~h2o_call() override;
     h2o_call(const h2o_call&) = delete;
     h2o_call& operator=(const h2o_call&) = delete;
@@ -22,6 +22,7 @@
     void connect(h2o_http1client_ctx_t& context, h2o_socketpool_t* pool);
     void pause() override;
     void resume() override;
+    void discard_connection() override;
 
 private:
     enum class phase : std::uint8_t {
@@ -54,16 +55,16 @@
                                            h2o_header_t* headers, std::size_t count,
                                            int header_bytes);
     // Puts on_request_written and on_head_readable in front of h2o's own callbacks. h2o's reader
-    // aborts the process when a connection fails after an interim response, or when a header field
-    // that it needs is malformed.
+    // accepts heads that the grammar does not allow, and aborts the process when a connection fails
+    // after an interim response, or when a header field that it needs is malformed. It runs once
+    // the final head is complete and was judged.
     void intercept_head();
     static void on_request_written(h2o_socket_t* socket, const char* error);
     static void on_head_readable(h2o_socket_t* socket, const char* error);
-    // Counts what was received before the final response head.
-    bool exceeds_head_limit(const h2o_socket_t& socket);
-    // Checks the part of a chunked body that was received with the head.
-    bool is_body_start_valid(std::string_view received);
-    void cancel_and_fail(kernel::error_kind kind, std::string detail);
+    // Passes what was not judged yet to the reader. Returns false if the call has failed.
+    bool judge_received(const h2o_socket_t& socket);
+    void cancel_and_fail(kernel::error_kind kind, std::string detail,
+                         kernel::response_fault fault = kernel::response_fault::none);
     static h2o_call& call_of(h2o_socket_t* socket) {
         return *static_cast<h2o_call*>(static_cast<h2o_http1client_t*>(socket->data)->data);
     }
@@ -73,16 +74,22 @@
     static void on_body_readable(h2o_socket_t* socket, const char* error);
     static int on_body(h2o_http1client_t* native, const char* error);
 
+    // Whether on_body_readable runs in front of h2o's reader of this body.
+    bool is_body_intercepted() const;
     // Installs on_body_readable.
     void intercept_body();
+    // Runs within a callback from h2o.
+    void complete();
     // Bounds what the kernel receives ahead on a connection with a large response.
     void narrow_receive_buffer();
-    void fail(kernel::error_kind kind, std::string detail);
+    void fail(kernel::error_kind kind, std::string detail,
+              kernel::response_fault fault = kernel::response_fault::none);
     void start_timer(helpers::duration wait);
     void on_timer();
     void serialize(const client_request& request);
 
     event_loop& loop;
+    kernel::response_fault_counts& faults;
     response_listener& listener;
     helpers::endpoint to;
     // The serialized request. Invariant: unchanged after connect(); h2o writes from it.
@@ -96,6 +103,8 @@
 
     // Null before connect() and after h2o has finished the call.
     h2o_http1client_t* native = nullptr;
+    // While the listener is told that the response is complete, what `native` was; null otherwise.
+    h2o_http1client_t* completed = nullptr;
     phase current_phase = phase::connecting;
     callback_scope* scope = nullptr;
     kernel::timer_id timer = 0;
@@ -105,18 +114,18 @@
     header_field echoed;
     // When body data was last received.
     helpers::time_point last_progress{};
-    std::size_t head_bytes = 0;
+    std::size_t max_body_bytes;
+    std::size_t body_bytes = 0;
     bool paused = false;
     // Read callback of the socket while the call is paused.
     h2o_socket_cb paused_reader = nullptr;
-    bool is_chunked = false;
     bool is_narrow = false;
-    message_framing chunks = message_framing::of_chunked_body();
+    response_reader reader;
+    // Bytes at the front of the socket's input that the reader has judged.
+    std::size_t judged_bytes = 0;
     // h2o's own callbacks, which on_request_written and on_head_readable call.
     h2o_socket_cb h2o_write_callback = nullptr;
     h2o_socket_cb h2o_head_reader = nullptr;
-    // The response has no length and ends when the connection is closed.
-    bool ends_by_close = false;
     // h2o's own reader of the body, which on_body_readable calls.
     h2o_socket_cb h2o_body_reader = nullptr;
     // The connection was closed or reset before the response was complete.
--- a/src/http/h2o_client.cpp
+++ b/src/http/h2o_client.cpp
@@ -54,7 +54,8 @@
 
 std::unique_ptr<client_call> h2o_client::start(const client_request& request,
                                                response_listener& listener) {
-    auto call = std::make_unique<h2o_call>(this->loop, this->limits, request, listener);
+    auto call =
+        std::make_unique<h2o_call>(this->loop, this->limits, this->fault_counts, request, listener);
     // Without a pool, h2o connects to a host name and can parse only IPv4 addresses without its
     // resolver thread. An IPv6 target uses the pool and relies on `connection: close` instead.
     const bool outside_pool = request.requires_new_connection && is_v4(request.to);
--- a/src/http/h2o_client.hpp
+++ b/src/http/h2o_client.hpp
@@ -30,6 +30,9 @@
     std::unique_ptr<client_call> start(const client_request& request,
                                        response_listener& listener) override;
 
+    // Of the responses to all calls.
+    const kernel::response_fault_counts& faults() const { return this->fault_counts; }
+
 private:
     struct pool_deleter {
         void operator()(h2o_socketpool_t* pool) const;
@@ -39,6 +42,7 @@
 
     event_loop& loop;
     client_limits limits;
+    kernel::response_fault_counts fault_counts;
     h2o_timeout_t io_timeout{};
     h2o_http1client_ctx_t context{};
     std::map<helpers::endpoint, std::unique_ptr<h2o_socketpool_t, pool_deleter>> pools;
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -39,6 +39,8 @@
     helpers::duration first_byte_timeout{};
     // Longest time without data within the response body; zero selects the client's default.
     helpers::duration idle_timeout{};
+    // The call fails once the response body is longer; zero means that the listener bounds it.
+    std::size_t max_body_bytes = 0;
     // Do not send on a connection that has carried another request. Set for calls that must not be
     // retried: a pooled connection may prove to be closed only after the request was written.
     bool requires_new_connection = false;
--- a/src/http/message_framing.cpp
+++ b/src/http/message_framing.cpp
@@ -27,9 +27,12 @@
 }
 
 bool message_framing::append(std::string_view data) {
-    while (!data.empty() && this->current != part::invalid && this->current != part::unchecked)
-        if (!this->consume(data, nullptr))
-            this->current = part::invalid;
+    while (!data.empty() && this->current != part::invalid && this->current != part::unchecked) {
+        if (this->consume(data, nullptr))
+            continue;
+        this->is_trailer_invalid = this->current == part::trailer;
+        this->current = part::invalid;
+    }
     return this->current != part::invalid;
 }
 
@@ -99,13 +102,19 @@
         this->current = part::chunk_size;
         return line.empty();
     }
-    this->trailer_bytes += whole.size();
+    const bool is_valid = this->end_trailer(line);
+    this->buffer.clear();
+    return is_valid;
+}
+
+bool message_framing::end_trailer(std::string_view line) {
     if (line.empty()) {
         this->trailer_bytes = 0;
         this->current = this->next_message;
+        return true;
     }
-    this->buffer.clear();
-    return this->trailer_bytes <= max_framing_bytes;
+    this->trailer_bytes += line.size() + line_end.size();
+    return has_field_name(line) && this->trailer_bytes <= max_framing_bytes;
 }
 
 bool message_framing::end_head(received_message* message) {
--- a/src/http/message_framing.hpp
+++ b/src/http/message_framing.hpp
@@ -34,6 +34,8 @@
     // Like append(), and moves the bytes of one request from the front of `data` to `message`.
     // Stops after the head, and at the end of the request.
     bool take(std::string_view& data, received_message& message);
+    // Whether append() has failed within the trailers.
+    bool has_invalid_trailer() const { return this->is_trailer_invalid; }
     // Bytes of a head that is not complete, and of the empty lines before it.
     std::size_t head_bytes() const {
         return this->current == part::head ? this->buffer.size() + this->empty_line_bytes : 0;
@@ -64,6 +66,7 @@
     bool end_line(received_message* message);
     bool end_head(received_message* message);
     bool end_chunk_size();
+    bool end_trailer(std::string_view line);
     void skip(std::string_view& data, received_message* message);
 
     part current = part::head;
@@ -74,6 +77,7 @@
     // Start of the current line in `buffer`.
     std::size_t line_start = 0;
     std::size_t trailer_bytes = 0;
+    bool is_trailer_invalid = false;
     // Of the empty lines before the current head.
     std::size_t empty_line_bytes = 0;
     // Bytes left of the body or chunk.
--- a/src/kernel/error.hpp
+++ b/src/kernel/error.hpp
@@ -2,6 +2,8 @@
 // receives.
 #pragma once
 
+#include "kernel/response_fault.hpp"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -73,6 +75,8 @@
 struct error {
     error_kind kind = error_kind::internal;
     std::string detail;
+    // Set if the reason is a malformed or incomplete response.
+    response_fault fault = response_fault::none;
 };
 
 const error_mapping& error_mapping_for(error_kind kind);
--- a/tests/gateway/gateway_harness.hpp
+++ b/tests/gateway/gateway_harness.hpp
@@ -23,6 +23,7 @@
     http::response_listener* listener = nullptr;
     bool is_cancelled = false;
     bool is_paused = false;
+    bool is_connection_discarded = false;
 
     std::string header(std::string_view name) const {
         return std::string(http::find_header(this->request.headers, name).value_or(""));
@@ -68,6 +69,7 @@
         ~handle() override { this->call.is_cancelled = true; }
         void pause() override { this->call.is_paused = true; }
         void resume() override { this->call.is_paused = false; }
+        void discard_connection() override { this->call.is_connection_discarded = true; }
         scripted_call& call;
     };
 };
--- a/tests/http/test_heads.cpp
+++ b/tests/http/test_heads.cpp
@@ -1,6 +1,6 @@
-// Tests of the checks for ambiguous request heads and malformed response heads.
+// Tests of the checks for ambiguous request heads and malformed responses.
 #include "http/request_head.hpp"
-#include "http/response_head.hpp"
+#include "http/response_reader.hpp"
 #include "http/socket_address.hpp"
 #include "tests/http/loopback.hpp"
 
@@ -16,6 +16,19 @@
 
 namespace {
 
+using kernel::response_fault;
+
+// The first fault of a response that arrives in pieces of so many bytes.
+response_fault fault_of(std::string_view received, std::size_t piece) {
+    http::response_reader reader(false);
+    for (std::size_t start = 0; start < received.size(); start += piece) {
+        const auto fault = reader.append(received.substr(start, piece));
+        if (fault != response_fault::none)
+            return fault;
+    }
+    return response_fault::none;
+}
+
 std::string with_fields(std::string_view fields) {
     return "POST /x HTTP/1.1\r\n" + std::string(fields) + "\r\n";
 }
@@ -113,12 +126,59 @@
 }
 
 TEST_CASE("heads: responses with a malformed length or an unknown encoding are detected") {
-    CHECK_FALSE(http::has_malformed_head("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n"));
-    CHECK_FALSE(http::has_malformed_head("HTTP/1.1 200 OK\r\nContent-Length: x\r\n"));
-    CHECK(http::has_malformed_head("HTTP/1.1 200 OK\r\nContent-Length: 1x\r\n\r\n"));
-    CHECK(http::has_malformed_head("HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\n"));
-    CHECK(http::has_malformed_head("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n"));
-    CHECK_FALSE(http::has_malformed_head("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    struct judged_response {
+        const char* text;
+        response_fault fault;
+    };
+    for (const auto& [text, fault] : {
+             judged_response{"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n", response_fault::none},
+             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", response_fault::none},
+             {"HTTP/1.1 200 OK\r\nContent-Length: x", response_fault::none},
+             {"HTTP/1.1 200 OK\r\nContent-Length: x\r\n", response_fault::framing_fields},
+             {"HTTP/1.1 200 OK\r\nContent-Length: 1x\r\n\r\n", response_fault::framing_fields},
+             {"HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\n", response_fault::framing_fields},
+             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", response_fault::framing_fields},
+         }) {
+        CAPTURE(text);
+        for (const std::size_t piece : {1, 7, 1000})
+            CHECK(fault_of(text, piece) == fault);
+    }
+}
+
+// Guards against status lines and field lines outside the grammar that are taken for a response.
+TEST_CASE("heads: each line of a response is judged, whole or in pieces") {
+    struct judged_response {
+        const char* text;
+        response_fault fault;
+    };
+    for (const auto& [text, fault] : {
+             judged_response{"HTTP/1.1 000 OK\r\n", response_fault::status_line},
+             {"HTTP/1.1 99 OK\r\n", response_fault::status_line},
+             {"HTTP/1.1 600 OK\r\n", response_fault::status_line},
+             {"HTTP/1.1 101 OK\r\n", response_fault::status_line},
+             {"HTTP/1.1 200\r\n", response_fault::status_line},
+             {"HTTP/2.0 200 OK\r\n", response_fault::status_line},
+             {"HTTP/1.1 200 OK\n", response_fault::status_line},
+             {"\r\nHTTP/1.1 200 OK\r\n", response_fault::status_line},
+             {"HTTP/1.1 200 \r\nX: \xe4\r\n\r\n", response_fault::none},
+             {"HTTP/1.0 599 OK\r\n\r\n", response_fault::none},
+             {"HTTP/1.1 200 OK\r\nX y: z\r\n", response_fault::field_line},
+             {"HTTP/1.1 200 OK\r\nX : z\r\n", response_fault::field_line},
+             {"HTTP/1.1 200 OK\r\nX: y\r\n z\r\n", response_fault::field_line},
+             {"HTTP/1.1 103 OK\r\nX\x01: y\r\n", response_fault::field_line},
+             {"HTTP/1.1 100 OK\r\n\r\nHTTP/1.1 200 OK\r\nX\r\n", response_fault::field_line},
+             {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n", response_fault::framing_fields},
+             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0x1\r\n",
+              response_fault::chunk},
+             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX y: z\r\n",
+              response_fault::trailer},
+             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: y\r\n\r\n",
+              response_fault::none},
+         }) {
+        CAPTURE(text);
+        for (const std::size_t piece : {1, 7, 1000})
+            CHECK(fault_of(text, piece) == fault);
+    }
 }
 
 TEST_CASE(
