A response without a length is complete only by an orderly close

Callers received a part of an answer as a complete one. A worker had answered a long upload at once with a 200 that has no length, closed its direction behind a part of the body and reset the connection, while the upload was still in the kernel's send buffer.

Cause: the close is read as the end of the response. The reset behind it is reported to a write only, and no write follows: the whole upload fits the send buffer, so that it counts as written.

Change: at the close of a response that ends by it, the socket must have no pending error and no bytes of the request that its peer has not acknowledged. A peer that ends before it has the whole request may have crashed.

A reset without a close in front of it, at once, later or after the upload, failed the call already.

--- a/src/http/h2o_call.cpp
+++ b/src/http/h2o_call.cpp
@@ -1,6 +1,8 @@
 // Runs one request on h2o's client, with timeouts, pausing and cancellation.
 #include "http/h2o_call.hpp"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cstring>
@@ -20,6 +22,17 @@
     return "the response is malformed: " + std::string(kernel::to_string(fault));
 }
 
+// Whether the peer's close ends a response whose end nothing else shows. A reset behind the close
+// is not reported to a read, and a peer that has not received the whole request may have crashed.
+bool is_orderly_close(h2o_socket_t& socket) {
+    const int descriptor = h2o_socket_get_fd(&socket);
+    int error = 0;
+    socklen_t size = sizeof(error);
+    int unacknowledged_bytes = 0;
+    return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0 &&
+           ioctl(descriptor, SIOCOUTQ, &unacknowledged_bytes) == 0 && unacknowledged_bytes == 0;
+}
+
 } // namespace
 
 h2o_call::h2o_call(event_loop& loop, const client_limits& limits,
@@ -283,8 +296,9 @@
             return;
         socket->bytes_read = 0;
     }
-    // The end of the connection completes a response without a length, but a reset does not.
-    self->closed_early = error != nullptr && (is_chunked || error != h2o_socket_error_closed);
+    // An orderly close completes a response without a length, but a reset does not.
+    self->closed_early = error != nullptr && (is_chunked || error != h2o_socket_error_closed ||
+                                              !is_orderly_close(*socket));
     reader(socket, error);
 }
 
--- a/tests/process/standins/workers.py
+++ b/tests/process/standins/workers.py
@@ -31,6 +31,9 @@
         # async handler(worker, line, fields, body, reader, writer); returns True to use the connection again,
         # False to close it, None to let the worker answer as usual.
         self.handler = None
+        # async handler(worker, line, fields, reader, writer), called before the body is read; returns False to
+        # close the connection, None to go on as usual.
+        self.early_handler = None
         # Called with the attempt of each request that arrives, those that it turns away included.
         self.on_arrival = None
 
@@ -96,6 +99,9 @@
                 self.record(self.name, "arrived", attempt, line)
                 if self.on_arrival is not None:
                     self.on_arrival(attempt)
+                if self.early_handler is not None:
+                    if await self.early_handler(self, line, fields, reader, writer) is False:
+                        return
                 body = await http.read_body(reader, fields)
                 used = None
                 if self.handler is not None:
