What is held for responses is bounded, and counts in the account of the memory

Cause: the readers of the store's responses append what comes, without a bound and outside the account of the memory; so do ctl and the routers' store client. The poll of an engine's load dropped what exceeds its bound, but read on for as long as bytes came, and that target was not polled again. Heads that are not complete and the reports of targets were held outside the account.

Change: client_request::max_body_bytes ends a call whose body is longer; each reader that collects a body sets it (store 4 MiB, routers' store 16 MiB, target report 256 KiB, load 4 KiB, ctl 64 MiB). The store's responses, incomplete heads and target reports count in the account; callers give way to the store's. A watch response that is too long is followed by a list, which comes in pages. The receive buffer of a connection is also narrowed if most of what was read is framing.

--- a/apps/ctl/admin_client.cpp
+++ b/apps/ctl/admin_client.cpp
@@ -7,6 +7,7 @@
 
 constexpr int not_accepted_status = 503;
 constexpr int outcome_unknown_status = 504;
+constexpr std::size_t max_response_bytes = std::size_t{64} << 20;
 
 class response_collector final : public http::response_listener {
 public:
@@ -61,6 +62,7 @@
     request.body = std::move(body);
     request.first_byte_timeout = this->timeout;
     request.idle_timeout = this->timeout;
+    request.max_body_bytes = max_response_bytes;
     if (!this->token.empty())
         request.headers.push_back({"authorization", "Bearer " + this->token});
     if (!request.body.empty())
--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -8,6 +8,7 @@
 #include "platform/object_json.hpp"
 #include "platform/object_store.hpp"
 #include "settings/gateway_settings.hpp"
+#include "settings/machine_memory.hpp"
 
 #include <getopt.h>
 
@@ -99,7 +100,9 @@
         return EXIT_FAILURE;
     }
     http::h2o_client store_client(loop, {});
-    platform::object_store store(store_client, settings.store, discovery::call_timeouts{});
+    http::caller_memory memory(settings::memory_limit_mb(settings.memory_limit_mb), loop.time());
+    platform::object_store store(store_client, settings.store, discovery::call_timeouts{},
+                                 memory.account());
     const platform::json_object_codec codec;
     auto keys = wire::parse_fleet_keys(std::array{settings.fleet_key});
     if (!keys) {
@@ -107,7 +110,7 @@
         return EXIT_FAILURE;
     }
     gateway::gateway instance(loop, hybrid, settings, std::move(*keys), *log, store, codec,
-                              platform::header_names());
+                              platform::header_names(), memory);
     if (!instance.start(reason)) {
         std::fprintf(stderr, "%s\n", reason.detail.c_str());
         return EXIT_FAILURE;
--- a/src/discovery/feed_watch.cpp
+++ b/src/discovery/feed_watch.cpp
@@ -208,6 +208,9 @@
     this->is_polling = false;
     this->is_confirming = false;
     if (const auto* reason = std::get_if<kernel::error>(&result)) {
+        // A list comes in pages, while the changes come in one response.
+        if (reason->fault == kernel::response_fault::body_size)
+            this->require_current_list();
         this->on_failure(*reason);
         return;
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,7 +2,6 @@
 #include "gateway/gateway.hpp"
 
 #include "http/error_response.hpp"
-#include "settings/machine_memory.hpp"
 
 #include <algorithm>
 #include <array>
@@ -108,7 +107,7 @@
 gateway::gateway(http::event_loop& loop, kernel::hybrid_clock& hybrid_time,
                  const settings::gateway_settings& settings, std::vector<wire::bytes> keys,
                  kernel::event_sink& events, discovery::feed_source& feeds,
-                 const object_codec& codec, const header_names& names)
+                 const object_codec& codec, const header_names& names, http::caller_memory& memory)
     : loop(loop),
       settings(settings),
       events(events),
@@ -136,7 +135,7 @@
       quarantines(loop, events, feeds, codec, this->crashes),
       archive({loop, events, feeds, codec, this->catalog, this->fleet, this->stream_origins,
                this->load_exchange}),
-      memory(settings::memory_limit_mb(settings.memory_limit_mb), loop.time()),
+      memory(memory),
       descriptors(http::shares_of(http::descriptor_limit(settings.max_descriptors))),
       callers([this] { return this->fleet.table(); }, this->names, this->counters, this->random,
               events, loop.time()),
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -31,7 +31,7 @@
     gateway(http::event_loop& loop, kernel::hybrid_clock& hybrid_time,
             const settings::gateway_settings& settings, std::vector<wire::bytes> keys,
             kernel::event_sink& events, discovery::feed_source& feeds, const object_codec& codec,
-            const header_names& names);
+            const header_names& names, http::caller_memory& memory);
     ~gateway();
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
@@ -96,7 +96,7 @@
     gateway_counters counters;
     latency_recorders latencies;
     bool shutting_down = false;
-    http::caller_memory memory;
+    http::caller_memory& memory;
     http::descriptor_shares descriptors;
     caller_intake callers;
     relay_intake relays;
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -113,6 +113,7 @@
     static constexpr helpers::duration relay_silence_slack = std::chrono::milliseconds(400);
 
     bool on_connected() override;
+    void on_head_bytes(std::size_t held) override { this->caller->hold(held); }
     void on_head(int status, const http::header_list& headers) override;
     void on_body(std::span<const char> data) override;
     void on_done() override;
--- a/src/gateway/proxied_request_resume.cpp
+++ b/src/gateway/proxied_request_resume.cpp
@@ -67,6 +67,7 @@
     this->inspection = std::make_unique<target_inspection>(
         this->services.targets, this->services.codec,
         this->current_assignment->target->registration.address,
+        [this](std::size_t held) { this->caller->hold(held); },
         [this](std::optional<std::int64_t> started_at) {
             this->defer([this, started_at] { this->on_inspected(started_at); });
         });
@@ -74,6 +75,7 @@
 
 void proxied_request::on_inspected(std::optional<std::int64_t> started_at) {
     this->inspection.reset();
+    this->caller->hold(0);
     const auto& expected = this->current_assignment->target->registration;
     if (started_at == expected.started_at) {
         this->start_call();
--- a/src/gateway/target_inspection.cpp
+++ b/src/gateway/target_inspection.cpp
@@ -14,22 +14,22 @@
 } // namespace
 
 target_inspection::target_inspection(http::client& client, const object_codec& codec,
-                                     const helpers::endpoint& address, handler done)
-    : codec(codec), done(std::move(done)) {
+                                     const helpers::endpoint& address,
+                                     std::function<void(std::size_t)> hold, handler done)
+    : codec(codec), hold(std::move(hold)), done(std::move(done)) {
     http::client_request request;
     request.to = address;
     request.path = codec.target_report_path();
     request.connect_timeout = timeout;
     request.first_byte_timeout = timeout;
     request.idle_timeout = timeout;
+    request.max_body_bytes = max_report_bytes;
     this->call = client.start(request, *this);
 }
 
 void target_inspection::on_body(std::span<const char> data) {
-    if (this->body.size() + data.size() > max_report_bytes)
-        this->finish(std::nullopt);
-    else
-        this->body.append(data.data(), data.size());
+    this->body.append(data.data(), data.size());
+    this->hold(this->body.capacity());
 }
 
 void target_inspection::on_done() {
--- a/src/gateway/target_inspection.hpp
+++ b/src/gateway/target_inspection.hpp
@@ -20,12 +20,15 @@
     // respond in time or states none. Must not destroy the inspection.
     using handler = std::function<void(std::optional<std::int64_t> started_at)>;
 
+    // `hold` is told how many bytes of the response are held.
     target_inspection(http::client& client, const object_codec& codec,
-                      const helpers::endpoint& address, handler done);
+                      const helpers::endpoint& address, std::function<void(std::size_t)> hold,
+                      handler done);
 
     static constexpr helpers::duration timeout = std::chrono::milliseconds(250);
 
 private:
+    void on_head_bytes(std::size_t held) override { this->hold(held); }
     void on_head(int given, const http::header_list&) override { this->status = given; }
     void on_body(std::span<const char> data) override;
     void on_done() override;
@@ -33,6 +36,7 @@
     void finish(std::optional<std::int64_t> started_at);
 
     const object_codec& codec;
+    std::function<void(std::size_t)> hold;
     handler done;
     int status = 0;
     std::string body;
--- a/src/http/h2o_call.cpp
+++ b/src/http/h2o_call.cpp
@@ -210,6 +210,9 @@
 bool h2o_call::judge_received(const h2o_socket_t& socket) {
     const auto& input = *socket.input;
     const auto judged = std::exchange(this->judged_bytes, input.size);
+    // Much of a chunked body may be framing, which on_body does not see.
+    if (input.size - judged > narrow_receive_buffer_bytes)
+        this->narrow_receive_buffer();
     const auto fault = this->reader.append({input.bytes + judged, input.size - judged});
     if (fault == kernel::response_fault::none)
         return true;
--- a/src/router/load_poller.cpp
+++ b/src/router/load_poller.cpp
@@ -39,6 +39,7 @@
         request.path = "/load";
         request.first_byte_timeout = timeout;
         request.idle_timeout = timeout;
+        request.max_body_bytes = max_report_bytes;
         this->call = owner.client.start(request, *this);
     }
 
@@ -46,10 +47,7 @@
         this->success = status == status_ok;
     }
     void on_body(std::span<const char> data) override {
-        if (this->body.size() + data.size() > max_report_bytes)
-            this->success = false;
-        else
-            this->body.append(data.data(), data.size());
+        this->body.append(data.data(), data.size());
     }
     void on_done() override {
         if (this->success)
--- a/src/router/routed_request.hpp
+++ b/src/router/routed_request.hpp
@@ -51,6 +51,7 @@
     };
 
     bool on_connected() override;
+    void on_head_bytes(std::size_t held) override { this->caller->hold(held); }
     void on_head(int status, const http::header_list& headers) override;
     void on_body(std::span<const char> data) override;
     void on_done() override;
--- a/src/store/http_object_store.cpp
+++ b/src/store/http_object_store.cpp
@@ -16,6 +16,7 @@
 constexpr int status_conflict = 409;
 constexpr int first_server_error = 500;
 constexpr int status_unavailable = 503;
+constexpr std::size_t max_response_bytes = std::size_t{16} << 20;
 
 std::string percent_encode(std::string_view text) {
     constexpr std::string_view digits = "0123456789ABCDEF";
@@ -107,6 +108,7 @@
     result.path = std::move(path);
     result.first_byte_timeout = this->settings.call_timeout;
     result.idle_timeout = this->settings.call_timeout;
+    result.max_body_bytes = max_response_bytes;
     return result;
 }
 
--- a/tests/platform/test_object_store.cpp
+++ b/tests/platform/test_object_store.cpp
@@ -27,7 +27,10 @@
     const http::client_request& request() { return this->client.calls.back().request; }
 
     tests::scripted_client client;
-    platform::object_store store{client, {"10.0.0.9", 80}, {}};
+    kernel::manual_loop loop;
+    admission::memory_budget budget{0};
+    http::memory_account memory{budget, loop.time()};
+    platform::object_store store{client, {"10.0.0.9", 80}, {}, memory};
     std::unique_ptr<discovery::feed_call> call;
     std::optional<discovery::feed_result> result;
 };
--- a/tests/platform/test_store_response.cpp
+++ b/tests/platform/test_store_response.cpp
@@ -139,7 +139,10 @@
 // Guards against requests that another writer's name would change.
 TEST_CASE("store: names of objects are encoded in paths and queries") {
     tests::scripted_client client;
-    platform::object_store store(client, {"10.0.0.9", 80}, {});
+    kernel::manual_loop loop;
+    admission::memory_budget budget(0);
+    http::memory_account memory(budget, loop.time());
+    platform::object_store store(client, {"10.0.0.9", 80}, {}, memory);
     const auto done = [](const discovery::feed_result&) {};
     auto call =
         store.list(collection::targets, "a b&c\r\n", discovery::list_freshness::current, done);
--- a/tests/process/standins/store.py
+++ b/tests/process/standins/store.py
@@ -20,6 +20,8 @@
         # (revision, kind, encoded event)
         self.history = []
         self.era = 1
+        # Bytes that follow the head of each response, in place of a body; None while the store is sound.
+        self.bytes_without_end = None
         # Kinds whose calls of gateways get no response; None stands for all kinds.
         self.silent = set()
         self.changed = asyncio.Condition()
@@ -78,6 +80,9 @@
                     # A connection on which a response is lost returns nothing further.
                     await asyncio.sleep(120)
                     return
+                if self.bytes_without_end is not None:
+                    await self.send_without_end(writer)
+                    return
                 status, content = await self.execute(method, path, query, body)
                 fields = {"content-type": "application/json", "content-length": len(content),
                           "store-era": self.era}
@@ -89,6 +94,12 @@
             self.writers.discard(writer)
             writer.close()
 
+    async def send_without_end(self, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nstore-era: %d\r\n" % self.era)
+        while self.bytes_without_end is not None:
+            writer.write(self.bytes_without_end)
+            await writer.drain()
+
     async def execute(self, method, path, query, body):
         parameters = dict(urllib.parse.parse_qsl(query))
         _, _, kind, *rest = path.split("/")
