During a planned stop no request is begun that may not end within the grace

Callers whose requests came up to 2.8 s after the SIGTERM had them passed on to a target and cut off 4.7 to 7.5 s later, at the end of the grace, with 502 and an unknown outcome, or in the middle of a stream; among them requests that may not be repeated.

Cause: what is still accepted depends on the time since the signal only, not on how long the request may take. Retries and requests from the queue were not checked at all.

A request is begun, first or again, only if its time limit (the caller's deadline, the route's timeout) lies before the end of the grace less the margin for sending responses; otherwise it is refused at once as not run, with Retry-After 20 ms and the connection closed, as other gateways serve it. A stream that has begun may go on until the end.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,11 +13,6 @@
 // Load balancers check readiness once a second and remove a gateway after two failed checks. Until
 // then callers are still sent here, and a rejection would cost them a retry elsewhere.
 constexpr helpers::duration min_shutdown_time = std::chrono::milliseconds(3300);
-// Requests that arrive this long after the start of the shutdown are rejected, since they would
-// still be in progress when the process has to stop.
-constexpr helpers::duration accept_period = std::chrono::milliseconds(2800);
-// End of the grace period that is left for sending responses.
-constexpr helpers::duration shutdown_margin = std::chrono::milliseconds(500);
 constexpr helpers::duration shutdown_check_interval = std::chrono::milliseconds(50);
 constexpr helpers::duration reconnect_delay = std::chrono::milliseconds(20);
 // Idle connections to targets are closed after this time; most targets keep them open for longer.
@@ -135,6 +130,7 @@
       quarantines(loop, events, feeds, codec, this->crashes),
       archive({loop, events, feeds, codec, this->catalog, this->fleet, this->stream_origins,
                this->load_exchange}),
+      shutdown(loop.time(), settings.shutdown_grace),
       memory(memory),
       descriptors(http::shares_of(http::descriptor_limit(settings.max_descriptors))),
       callers([this] { return this->fleet.table(); }, this->names, this->counters, this->random,
@@ -155,7 +151,7 @@
                this->names,
                this->counters,
                this->latencies,
-               this->shutting_down,
+               this->shutdown,
                this->memory.budget(),
                codec,
                this->fleet.targets_watch(),
@@ -301,14 +297,14 @@
         incoming.respond(status_ok, {}, "ready\n");
         return;
     }
-    http::respond_with_error(incoming, {{this->shutting_down ? kernel::error_kind::shutting_down
-                                                             : kernel::error_kind::not_ready,
-                                         ""}});
+    http::respond_with_error(incoming,
+                             {{this->shutdown.has_begun() ? kernel::error_kind::shutting_down
+                                                          : kernel::error_kind::not_ready,
+                               ""}});
 }
 
 void gateway::accept(std::unique_ptr<http::exchange> incoming, helpers::time_point arrived) {
-    if (this->shutting_down &&
-        this->loop.time().now() - this->shutdown_started_at > accept_period) {
+    if (!this->shutdown.is_accepting()) {
         this->reject_while_shutting_down(*incoming);
         return;
     }
@@ -365,11 +361,10 @@
 }
 
 void gateway::shut_down(kernel::task finished) {
-    if (this->shutting_down)
+    if (this->shutdown.has_begun())
         return;
-    this->shutting_down = true;
+    this->shutdown.begin();
     this->shutdown_handler = std::move(finished);
-    this->shutdown_started_at = this->loop.time().now();
     this->load_exchange.resign_hub();
     this->events.write(kernel::severity::info, "gateway.leaving", std::nullopt,
                        {{"in_progress", std::uint64_t{this->requests.size()}}});
@@ -377,12 +372,11 @@
 }
 
 void gateway::check_shutdown() {
-    const auto elapsed = this->loop.time().now() - this->shutdown_started_at;
-    const bool is_overdue = elapsed >= this->settings.shutdown_grace - shutdown_margin;
     const bool is_idle = this->requests.empty() &&
                          this->caller_server->responses_in_progress() == 0 &&
                          this->relay_server->responses_in_progress() == 0;
-    if (!is_overdue && (elapsed < min_shutdown_time || !is_idle)) {
+    if (!this->shutdown.is_overdue() &&
+        (this->shutdown.elapsed() < min_shutdown_time || !is_idle)) {
         this->shutdown_timer =
             this->loop.schedule(shutdown_check_interval, [this] { this->check_shutdown(); });
         return;
@@ -398,10 +392,10 @@
 
 void gateway::finish_shutdown() {
     this->shutdown_timer = 0;
-    const auto elapsed = this->loop.time().now() - this->shutdown_started_at;
     const bool has_unanswered =
         this->caller_server->has_unanswered() || this->relay_server->has_unanswered();
-    if (has_unanswered && elapsed < this->settings.shutdown_grace - shutdown_check_interval) {
+    if (has_unanswered &&
+        this->shutdown.elapsed() < this->settings.shutdown_grace - shutdown_check_interval) {
         this->shutdown_timer =
             this->loop.schedule(shutdown_check_interval, [this] { this->finish_shutdown(); });
         return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -50,7 +50,7 @@
     debug::metrics& metrics() { return this->metric_registry; }
 
 private:
-    bool is_ready() const { return !this->shutting_down && this->fleet.is_initialized(); }
+    bool is_ready() const { return !this->shutdown.has_begun() && this->fleet.is_initialized(); }
     void accept(std::unique_ptr<http::exchange> incoming, helpers::time_point arrived);
     // A request that another gateway passes on.
     void accept_relayed(std::unique_ptr<http::exchange> incoming);
@@ -95,7 +95,7 @@
     stream_archive archive;
     gateway_counters counters;
     latency_recorders latencies;
-    bool shutting_down = false;
+    shutdown_window shutdown;
     http::caller_memory& memory;
     http::descriptor_shares descriptors;
     caller_intake callers;
@@ -110,7 +110,6 @@
     std::unordered_map<std::uint64_t, std::unique_ptr<proxied_request>> requests;
     startup_queue startup_requests;
     std::uint64_t last_sequence = 0;
-    helpers::time_point shutdown_started_at{};
     kernel::task shutdown_handler;
     kernel::timer_id shutdown_timer = 0;
 };
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -83,7 +83,7 @@
 
 void proxied_request::start() {
     ++this->services.counters.requests;
-    if (this->services.shutting_down)
+    if (this->services.shutdown.has_begun())
         this->caller->close_connection_after();
     if (!this->admit())
         return;
@@ -92,6 +92,10 @@
         this->route->timeout > helpers::duration::zero() ? this->route->timeout : default_deadline;
     this->deadline =
         this->arrived_at + std::min(this->metadata.deadline.value_or(timeout), timeout);
+    if (!this->ends_before_shutdown()) {
+        this->reject_for_shutdown();
+        return;
+    }
     this->deadline_timer = this->services.loop.schedule(this->time_left(), [this] {
         this->deadline_timer = 0;
         this->abort({error_kind::deadline_exceeded, "no response before the deadline"});
@@ -171,6 +175,11 @@
 }
 
 void proxied_request::request_target() {
+    // A stream that has begun may go on until the end of the grace period.
+    if (!this->response_started && !this->ends_before_shutdown()) {
+        this->reject_for_shutdown();
+        return;
+    }
     if (!this->resolve_software() || !this->pass_quarantine())
         return;
     const auto now = this->services.loop.time().now();
@@ -232,6 +241,10 @@
 }
 
 void proxied_request::start_attempt() {
+    if (!this->response_started && !this->ends_before_shutdown()) {
+        this->reject_for_shutdown();
+        return;
+    }
     ++this->connect_attempts;
     this->reset_attempt();
     if (this->needs_inspection())
@@ -391,6 +404,8 @@
 bool proxied_request::may_retry(attempt_outcome outcome) {
     if (this->time_left() < min_time_left || this->connect_attempts >= max_connect_attempts)
         return false;
+    if (!this->response_started && !this->ends_before_shutdown())
+        return false;
     if (outcome != attempt_outcome::not_run && !this->route->is_idempotent)
         return false;
     if (this->response_started && !this->route->is_resumable)
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -14,6 +14,7 @@
 #include "gateway/relay_ticket.hpp"
 #include "gateway/request_metadata.hpp"
 #include "gateway/rollout_attempt.hpp"
+#include "gateway/shutdown_window.hpp"
 #include "gateway/target_inspection.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
@@ -68,9 +69,9 @@
     const header_names& names;
     gateway_counters& counters;
     const latency_recorders& latencies;
-    // While true, callers' connections are closed after the response, so that they reconnect to
-    // another gateway.
-    const bool& shutting_down;
+    // Once it has begun, callers' connections are closed after the response, so that they reconnect
+    // to another gateway.
+    const shutdown_window& shutdown;
     admission::memory_budget& memory;
     const object_codec& codec;
     // Confirms that the catalog has all targets.
@@ -211,6 +212,8 @@
     bool takes_up_stream() const;
     std::string origin_key() const;
     void record_stream_origin();
+    // Whether the response comes before a shutdown ends the request.
+    bool ends_before_shutdown() const { return this->services.shutdown.admits(this->deadline); }
     // Until when the request may wait for a target.
     helpers::time_point queue_deadline() const;
     // The connection of the current attempt was lost, which may be the request's own doing.
@@ -227,6 +230,7 @@
     // Returns the current assignment, if there is one, to the dispatcher.
     void release(attempt_result result);
     void reject(const kernel::error& reason, kernel::request_outcome outcome);
+    void reject_for_shutdown();
     helpers::duration retry_after(kernel::error_kind reason) const;
     // Runs the task in the next loop iteration, or later; replaces a deferred task that has not run
     // yet.
--- a/src/gateway/proxied_request_finish.cpp
+++ b/src/gateway/proxied_request_finish.cpp
@@ -16,6 +16,7 @@
 
 // Retry-After is at most this fraction of the time that the caller has left.
 constexpr double retry_after_fraction = 0.3;
+constexpr helpers::duration reconnect_delay = std::chrono::milliseconds(20);
 constexpr helpers::duration min_retry_after = std::chrono::milliseconds(60);
 constexpr helpers::duration max_retry_after = std::chrono::milliseconds(1500);
 // An overload lasts for seconds and callers retry once or twice, so that their retries are spread
@@ -86,6 +87,9 @@
 }
 
 helpers::duration proxied_request::retry_after(error_kind reason) const {
+    // Other gateways serve the caller at once.
+    if (reason == error_kind::shutting_down)
+        return reconnect_delay;
     // Spread over half of the time more, so that the first target that serves again does not get
     // all that were told so.
     if (const auto quiet = this->services.dispatch.quiet_time_left(this->service))
@@ -130,6 +134,15 @@
     this->finish(kernel::to_string(outcome), response.reason.detail);
 }
 
+void proxied_request::reject_for_shutdown() {
+    if (this->ticket) {
+        this->refuse_relayed("the gateway is leaving");
+        return;
+    }
+    this->caller->close_connection_after();
+    this->reject({error_kind::shutting_down, "the gateway is leaving"}, this->outcome());
+}
+
 void proxied_request::release(attempt_result result) {
     if (!this->current_assignment)
         return;
--- a/tests/gateway/stream_fleet.hpp
+++ b/tests/gateway/stream_fleet.hpp
@@ -129,7 +129,7 @@
     gateway::header_names names;
     gateway::gateway_counters counters;
     gateway::latency_recorders latencies;
-    bool shutting_down = false;
+    gateway::shutdown_window shutdown{this->loop.time(), std::chrono::seconds(8)};
     admission::memory_budget memory{0};
     gateway::request_services services{this->loop,
                                        this->random,
@@ -144,7 +144,7 @@
                                        this->names,
                                        this->counters,
                                        this->latencies,
-                                       this->shutting_down,
+                                       this->shutdown,
                                        this->memory,
                                        this->codec,
                                        this->fleet.targets_watch()};
--- a/tests/gateway/test_proxied_request.cpp
+++ b/tests/gateway/test_proxied_request.cpp
@@ -295,7 +295,7 @@
 TEST_CASE(
     "gateway: while it shuts down, a gateway closes callers' connections after the response") {
     gateway_harness harness;
-    harness.shutting_down = true;
+    harness.shutdown.begin();
     auto& caller = harness.send("/book/1");
     harness.last_call().respond(200, "ok");
     CHECK(caller.response.closes_connection);
@@ -434,3 +434,35 @@
     harness.process_events();
     CHECK(broken.response.status == 502);
 }
+
+// Guards against LOST: a request is begun that the end of the grace period cuts off.
+TEST_CASE("gateway: a shutting-down gateway begins no request that may outlast its grace period") {
+    gateway_harness harness;
+    harness.shutdown.begin();
+    auto& late = harness.send("/book/1", {{"x-deadline-ms", "7501"}});
+    CHECK(late.response.status == 503);
+    CHECK(response_header(late.response, "x-outcome") == "not run");
+    CHECK(response_header(late.response, "retry-after") == "0.020");
+    CHECK(late.response.closes_connection);
+    CHECK(harness.call_count() == 0);
+    auto& timely = harness.send("/book/1", {{"x-deadline-ms", "7000"}});
+    harness.last_call().respond(200, "ok");
+    CHECK(timely.response.status == 200);
+    harness.advance(1s);
+    CHECK(harness.send("/book/1", {{"x-deadline-ms", "7000"}}).response.status == 503);
+    CHECK(harness.call_count() == 1);
+}
+
+// Guards against LOST: a request that has waited in the queue is begun when the time is too short.
+TEST_CASE(
+    "gateway: a request that was taken before the shutdown is not begun if it may outlast it") {
+    gateway_harness harness;
+    auto& caller = harness.send("/look/1", {{"x-deadline-ms", "9000"}});
+    harness.last_call().connect();
+    harness.shutdown.begin();
+    harness.last_call().reject_not_run();
+    harness.process_events();
+    CHECK(harness.call_count() == 1);
+    CHECK(caller.response.status == 503);
+    CHECK(response_header(caller.response, "x-outcome") == "not run");
+}
