A stream that has begun goes on only with its next event

Callers whose stream had broken off found the text of an error page or another run's events in the middle of it, missed an event, or saw the stream end as if it were complete.

Cause: any 2xx of the next target continued the stream, whatever its media type. Its events were judged one by one, so that one without an id, or far behind the last one, was passed on. A response without any event counted as the end, since the events of the earlier target counted as its own.

Change: only a 200 with events continues a stream, and only if it names the media type where the first one did. event_splitter judges the first event of a continuation: it has an id above the last one, by no more than the largest step so far; a target may repeat the last event. Events below that were dropped one by one, which joined two runs; they now end the attempt. The same holds for the event that a caller states when it takes up a stream. A response without an event does not complete a stream. A stream without ids is not resumed. Routers resume with 200 only. Responses of another gateway that are rejected release that gateway; rejecting them as a target's left it in use.

--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -1,6 +1,7 @@
 // Finds event boundaries and parses event ids.
 #include "gateway/event_splitter.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace samphirespool::gateway {
@@ -33,6 +34,17 @@
 
 } // namespace
 
+void event_splitter::begin_response() {
+    this->partial.clear();
+    this->is_continuing = this->emitted > 0 || this->last_event_id;
+    this->out_of_order = false;
+}
+
+void event_splitter::resume_after(std::uint64_t id) {
+    this->last_event_id = id;
+    this->is_continuing = true;
+}
+
 std::string_view event_splitter::append(std::string_view data) {
     this->complete.clear();
     this->partial.append(data);
@@ -49,12 +61,30 @@
     return this->complete;
 }
 
+bool event_splitter::is_next(std::optional<std::uint64_t> id) const {
+    if (!id || !this->last_event_id || *id <= *this->last_event_id)
+        return false;
+    return this->largest_step == 0 || *id - *this->last_event_id <= this->largest_step;
+}
+
 void event_splitter::emit(std::string_view event) {
     const auto id = id_of(event);
-    if (id && this->last_event_id && *id <= *this->last_event_id)
+    // A comment is no event.
+    if (this->is_continuing && !id && event.starts_with(':'))
         return;
-    if (id)
+    // Targets may repeat the event that they are told as the last one.
+    const bool is_repeated = id && id == this->last_event_id;
+    if (this->is_continuing && !is_repeated && !this->is_next(id))
+        this->out_of_order = true;
+    if (this->out_of_order || (id && this->last_event_id && *id <= *this->last_event_id))
+        return;
+    this->is_continuing = false;
+    if (id) {
+        constexpr std::uint64_t min_step = 1;
+        const auto step = *id - this->last_event_id.value_or(0);
+        this->largest_step = std::max({this->largest_step, step, min_step});
         this->last_event_id = id;
+    }
     ++this->emitted;
     this->complete.append(event);
 }
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -110,6 +110,7 @@
     // The gateway that passed the request on has counted it.
     if (!this->ticket)
         this->services.dispatch.retry_budget().record_request(this->service, now);
+    this->resume_stream();
     this->request_target();
 }
 
@@ -234,7 +235,7 @@
     this->is_paused = false;
     this->buffered_body = {};
     this->caller->hold(0);
-    this->splitter.discard_partial();
+    this->splitter.begin_response();
     this->has_head = false;
     this->was_under_way = false;
     this->earlier_events = this->splitter.event_count();
@@ -408,7 +409,7 @@
         return false;
     if (outcome != attempt_outcome::not_run && !this->route->is_idempotent)
         return false;
-    if (this->response_started && !this->route->is_resumable)
+    if (this->response_started && (!this->route->is_resumable || !this->splitter.last_id()))
         return false;
     if (this->attempts == 0)
         return true;
@@ -473,6 +474,7 @@
                                  {"software", this->last_target_software},
                                  {"attempt", std::uint64_t{this->connect_attempts}},
                                  {"reason", reason.detail},
+                                 {"fault", std::string(kernel::to_string(reason.fault))},
                                  {"may_have_run", outcome != attempt_outcome::not_run},
                                  {"progress", std::string(to_string(this->progress()))},
                                  {"events", this->splitter.event_count() - this->earlier_events},
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -46,6 +46,8 @@
     // Requests that were rejected, and responses that were broken off, for want of memory.
     std::uint64_t memory_rejections = 0;
     std::uint64_t memory_aborts = 0;
+    // Found by requests, beside those that the client finds.
+    kernel::response_fault_counts response_faults;
 };
 
 // Receive the durations of each request, in seconds.
@@ -147,7 +149,7 @@
     void on_relay_refused(std::string_view reason);
     void on_relay_failed(const kernel::error& reason, bool maybe_sent);
     void end_relay();
-    void log_relay_failure(std::string_view reason, bool may_have_run) const;
+    void log_relay_failure(const kernel::error& reason, bool may_have_run) const;
     // What the gateway that passed the request on has to know of the response.
     void add_relay_fields();
     // Tells the gateway that passed the request on to ask another one.
@@ -182,6 +184,17 @@
     void resume_target();
     void on_silence_timeout();
     kernel::request_outcome outcome() const;
+    // The reason of an attempt whose response cannot be accepted. Counts the fault; the connection
+    // carries no further request.
+    kernel::error broken_response(kernel::response_fault fault, std::string detail);
+    // Ends the attempt of such a response.
+    void on_broken_response(const kernel::error& reason);
+    // Returns nothing if the head of a target's response, also one that another gateway passes on,
+    // belongs to this request.
+    std::optional<kernel::error> check_origin(int response_status,
+                                              const http::header_list& headers);
+    // Takes over the head, or returns why the response cannot continue the stream.
+    std::optional<kernel::error> accept_head(int response_status, const http::header_list& headers);
     // Whether a response echoes the id of this request.
     bool matches_request_id(const http::header_list& headers) const;
     void read_occupancy_report(const http::header_list& headers);
@@ -208,6 +221,8 @@
     // Returns whether the request may be sent at the software version that began its stream, if it
     // takes up one. If the version is unknown, looks it up and asks again later, or rejects it.
     bool resolve_software();
+    // Notes up to which event the caller has the stream that it takes up, if it does.
+    void resume_stream();
     // Whether the caller takes up a stream of an earlier attempt.
     bool takes_up_stream() const;
     std::string origin_key() const;
@@ -301,6 +316,8 @@
     // The current attempt has reached its target.
     bool has_reached_target = false;
     bool is_event_stream = false;
+    // The response that began the stream has named its media type.
+    bool has_event_type = false;
     int status = 0;
     http::header_list response_headers;
     // Responses other than event streams are buffered and forwarded as a whole.
--- a/src/gateway/proxied_request_relay.cpp
+++ b/src/gateway/proxied_request_relay.cpp
@@ -10,14 +10,8 @@
 
 using kernel::error_kind;
 
-constexpr int first_success = 200;
-constexpr int first_redirect = 300;
 constexpr int status_unavailable = 503;
 
-bool is_success(int status) {
-    return status >= first_success && status < first_redirect;
-}
-
 std::optional<std::uint32_t> read_software(const http::header_list& headers) {
     const auto text = http::find_header(headers, relay_fields::software).value_or("");
     std::uint32_t software = 0;
@@ -91,34 +85,29 @@
     }
     if (http::find_header(headers, this->services.names.request_id).value_or(this->metadata.id) !=
         this->metadata.id) {
-        this->on_relay_failed(
-            {error_kind::target_failed, "the response does not belong to this request"}, true);
+        this->on_broken_response(this->broken_response(
+            kernel::response_fault::other_request, "the response belongs to another request"));
         return;
     }
-    if (this->response_started && !is_success(response_status)) {
-        this->on_relay_failed(
-            {error_kind::answer_truncated, "the gateway did not resume the stream"}, true);
+    const bool is_new = !this->response_started;
+    const auto reason = this->accept_head(response_status, headers);
+    if (reason) {
+        this->on_broken_response(*reason);
         return;
     }
     // The response is passed on from here, so that what its target says of itself holds here too.
     this->last_target_name = http::find_header(headers, relay_fields::target).value_or("");
     if (const auto target = this->services.catalog.find(this->last_target_name))
         this->read_leaving(headers, target->serial);
-    const auto type = http::find_header(headers, "content-type").value_or("");
-    this->is_event_stream = is_success(response_status) &&
-                            (this->route->is_streaming || type.starts_with("text/event-stream"));
-    if (this->response_started)
-        return;
-    if (const auto software = read_software(headers))
+    const auto software = read_software(headers);
+    if (is_new && software)
         this->stream_software = software;
-    this->status = response_status;
-    this->response_headers = returned_headers(headers);
 }
 
 void proxied_request::on_relay_refused(std::string_view reason) {
     this->services.peers.on_refused(this->current_peer->name, this->service,
                                     this->services.loop.time().now());
-    this->log_relay_failure(reason, false);
+    this->log_relay_failure({error_kind::no_target, std::string(reason)}, false);
     --this->attempts;
     this->has_reached_target = false;
     this->tried_peers.push_back(this->current_peer->name);
@@ -128,7 +117,7 @@
 
 void proxied_request::on_relay_failed(const kernel::error& reason, bool maybe_sent) {
     this->services.peers.on_unreachable(this->current_peer->name, this->services.loop.time().now());
-    this->log_relay_failure(reason.detail, maybe_sent);
+    this->log_relay_failure(reason, maybe_sent);
     this->has_reached_target = false;
     this->may_have_run = this->may_have_run || maybe_sent;
     this->tried_peers.push_back(this->current_peer->name);
@@ -149,12 +138,13 @@
     this->current_peer.reset();
 }
 
-void proxied_request::log_relay_failure(std::string_view reason, bool may_have_run) const {
+void proxied_request::log_relay_failure(const kernel::error& reason, bool may_have_run) const {
     ++this->services.counters.relays_refused;
     this->services.events.write(kernel::severity::warning, "request.relay_failed", std::nullopt,
                                 {{"request_id", this->metadata.id},
                                  {"peer", this->current_peer->name},
-                                 {"reason", std::string(reason)},
+                                 {"reason", reason.detail},
+                                 {"fault", std::string(kernel::to_string(reason.fault))},
                                  {"may_have_run", may_have_run},
                                  {"events", this->splitter.event_count() - this->earlier_events},
                                  {"left_ms", helpers::whole_milliseconds(this->time_left())}});
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -1,6 +1,7 @@
 // The response of a target: its head, its body or events, and what it says of the target and of the
 // prompt.
 #include "gateway/proxied_request.hpp"
+#include "gateway/response_status.hpp"
 
 #include <algorithm>
 #include <array>
@@ -19,19 +20,6 @@
 constexpr int status_unavailable = 503;
 constexpr int status_misdirected = 421;
 constexpr int status_ok = 200;
-constexpr int first_redirect = 300;
-constexpr int first_success = 200;
-
-bool is_success(int status) {
-    return status >= first_success && status < first_redirect;
-}
-
-// Statuses that callers interpret as "the request was not executed".
-bool means_not_run(int status) {
-    constexpr std::array<int, 4> not_run_statuses{408, 421, 429, 503};
-    return std::find(not_run_statuses.begin(), not_run_statuses.end(), status) !=
-           not_run_statuses.end();
-}
 
 } // namespace
 
@@ -110,9 +98,8 @@
     // client_request::echoed_field.
     if (http::find_header(headers, names.request_id).value_or(this->metadata.id) !=
         this->metadata.id) {
-        this->finish_attempt(
-            attempt_outcome::maybe_run,
-            {error_kind::target_failed, "the response does not belong to this request"});
+        this->on_broken_response(this->broken_response(kernel::response_fault::other_request,
+                                                       "the response belongs to another request"));
         return;
     }
     this->read_occupancy_report(headers);
@@ -136,44 +123,79 @@
                              {error_kind::queue_full, "the target did not run the request"});
         return;
     }
-    // A success, or a status that states that nothing ran, counts only if the target itself
-    // produced it, which the seal shows.
+    auto reason = this->check_origin(response_status, headers);
+    if (!reason)
+        reason = this->accept_head(response_status, headers);
+    if (reason)
+        this->on_broken_response(*reason);
+}
+
+void proxied_request::on_broken_response(const kernel::error& reason) {
+    if (this->current_peer)
+        this->on_relay_failed(reason, true);
+    else
+        this->finish_attempt(attempt_outcome::maybe_run, reason);
+}
+
+kernel::error proxied_request::broken_response(kernel::response_fault fault, std::string detail) {
+    this->services.counters.response_faults.add(fault);
+    if (this->call != nullptr)
+        this->call->discard_connection();
+    return {error_kind::target_failed, std::move(detail), fault};
+}
+
+// A success, or a status that states that nothing ran, counts only if the target itself produced
+// it, which the seal shows.
+std::optional<kernel::error> proxied_request::check_origin(int response_status,
+                                                           const http::header_list& headers) {
+    if (!this->matches_request_id(headers))
+        return this->broken_response(kernel::response_fault::other_request,
+                                     "the response does not name this request");
     const bool needs_seal = is_success(response_status) || means_not_run(response_status);
-    if (!this->matches_request_id(headers) ||
-        (needs_seal && !http::find_header(headers, names.seal))) {
-        this->finish_attempt(
-            attempt_outcome::maybe_run,
-            {error_kind::target_failed, "the response does not belong to this request"});
-        return;
-    }
-    if (this->response_started && !is_success(response_status)) {
-        this->finish_attempt(attempt_outcome::maybe_run, {error_kind::answer_truncated,
-                                                          "the target did not resume the stream"});
-        return;
-    }
+    if (needs_seal && !http::find_header(headers, this->services.names.seal))
+        return this->broken_response(kernel::response_fault::no_seal,
+                                     "the response has no seal of a target");
+    return std::nullopt;
+}
+
+std::optional<kernel::error> proxied_request::accept_head(int response_status,
+                                                          const http::header_list& headers) {
     const auto type = http::find_header(headers, "content-type").value_or("");
-    this->is_event_stream = is_success(response_status) &&
-                            (this->route->is_streaming || type.starts_with("text/event-stream"));
-    if (this->response_started)
-        return;
+    const bool is_event_type = type.starts_with("text/event-stream");
+    if (this->response_started) {
+        if (response_status != status_ok ||
+            (!is_event_type && (this->has_event_type || !type.empty())))
+            return this->broken_response(kernel::response_fault::not_an_event_stream,
+                                         "the response does not resume the stream");
+        this->is_event_stream = true;
+        return std::nullopt;
+    }
+    this->is_event_stream =
+        is_success(response_status) && (this->route->is_streaming || is_event_type);
+    this->has_event_type = is_event_type;
     this->status = response_status;
     this->response_headers = returned_headers(headers);
+    return std::nullopt;
 }
 
 void proxied_request::on_body(std::span<const char> data) {
     if (!this->is_event_stream) {
         this->buffered_body.append(data.data(), data.size());
         if (this->buffered_body.size() > max_buffered_bytes)
-            this->finish_attempt(attempt_outcome::maybe_run,
-                                 {error_kind::target_failed, "the response body exceeds 4 MiB"});
+            this->on_broken_response(this->broken_response(kernel::response_fault::body_size,
+                                                           "the response body exceeds 4 MiB"));
         else
             this->caller->hold(this->buffered_body.capacity());
         return;
     }
     this->forward_events(this->splitter.append({data.data(), data.size()}));
-    if (this->splitter.partial_bytes() > max_event_bytes)
-        this->finish_attempt(attempt_outcome::maybe_run,
-                             {error_kind::target_failed, "an event exceeds 256 KiB"});
+    if (this->splitter.is_out_of_order())
+        this->on_broken_response(
+            this->broken_response(kernel::response_fault::event_order,
+                                  "the events do not follow those that the caller has"));
+    else if (this->splitter.partial_bytes() > max_event_bytes)
+        this->on_broken_response(
+            this->broken_response(kernel::response_fault::event_size, "an event exceeds 256 KiB"));
     else
         this->caller->hold(this->splitter.partial_bytes());
 }
@@ -249,14 +271,17 @@
 }
 
 void proxied_request::on_done() {
-    // A stream without a length ends with its connection, also if its target crashes.
-    const bool is_empty = this->status == status_ok && this->splitter.event_count() == 0;
+    // A stream without a length ends with its connection, also if its target crashes. A response
+    // without an event does not show that the stream which it should continue was whole.
+    const bool is_empty =
+        this->status == status_ok && this->splitter.event_count() == this->earlier_events;
     if (this->is_event_stream && (!this->splitter.at_boundary() || is_empty)) {
         this->report_target_lost();
-        this->finish_attempt(
-            attempt_outcome::maybe_run,
-            {error_kind::answer_truncated, is_empty ? "the stream ended before its first event"
-                                                    : "the stream ended inside an event"});
+        auto reason = this->broken_response(kernel::response_fault::incomplete_events,
+                                            is_empty ? "the stream ended before its first event"
+                                                     : "the stream ended inside an event");
+        reason.kind = error_kind::answer_truncated;
+        this->on_broken_response(reason);
         return;
     }
     if (this->status >= first_server_error && !this->response_started && !this->current_peer) {
--- a/src/gateway/proxied_request_resume.cpp
+++ b/src/gateway/proxied_request_resume.cpp
@@ -1,6 +1,8 @@
 // A stream that its caller takes up again goes on only at the software version that began it.
 #include "gateway/proxied_request.hpp"
 
+#include <charconv>
+
 namespace samphirespool::gateway {
 
 namespace {
@@ -15,6 +17,14 @@
            !this->metadata.last_event_id.empty();
 }
 
+void proxied_request::resume_stream() {
+    const auto text = this->metadata.last_event_id;
+    std::uint64_t id = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), id);
+    if (this->takes_up_stream() && parsed.ec == std::errc())
+        this->splitter.resume_after(id);
+}
+
 // A caller that names no attempt gives no record to find. The key is unique to this request, so
 // that an answer that the hub gave for an earlier stream does not apply.
 std::string proxied_request::origin_key() const {
--- a/src/router/request_context.hpp
+++ b/src/router/request_context.hpp
@@ -39,6 +39,8 @@
     std::uint64_t resumed = 0;
     // Responses that do not carry the id of the request; they are dropped.
     std::uint64_t mismatched_responses = 0;
+    // Found by requests, beside those that the client finds.
+    kernel::response_fault_counts response_faults;
     // Streams that were cut off after the caller had received a part.
     std::uint64_t broken_streams = 0;
 };
--- a/src/router/routed_request.hpp
+++ b/src/router/routed_request.hpp
@@ -79,6 +79,8 @@
     // Whether the response carries the id of this request; otherwise counts and logs the mismatch.
     bool is_own_response(const http::header_list& headers);
     void complete_response();
+    // Fails the attempt since its response cannot be accepted.
+    void reject_response(kernel::response_fault fault, std::string detail);
     void attempt_failed(const kernel::error& reason, bool maybe_sent);
     // Releases the grant, if one is held, and records the result for the health of the target.
     void end_attempt(release_result result);
--- a/src/router/routed_request_response.cpp
+++ b/src/router/routed_request_response.cpp
@@ -16,6 +16,7 @@
 // Above this the target's response is paused until the caller has received what was buffered for
 // it.
 constexpr std::size_t high_water_bytes = std::size_t{256} * 1024;
+constexpr int status_ok = 200;
 constexpr int first_server_error = 500;
 
 // The less certain of two outcomes: the caller may conclude no more than both the request's state
@@ -30,6 +31,7 @@
     if (http::find_header(headers, "x-request-id") == this->id_text)
         return true;
     ++this->context.counters.mismatched_responses;
+    this->context.counters.response_faults.add(kernel::response_fault::other_request);
     this->context.events.write(kernel::severity::warning, "request.crossed_answer", this->id,
                                {{"target", helpers::to_string(this->current_attempt->address)}});
     return false;
@@ -39,15 +41,18 @@
     auto& attempt = *this->current_attempt;
     attempt.first_byte = this->context.loop.time().now() - attempt.sent_at;
     if (!this->is_own_response(headers)) {
-        this->attempt_failed({error_kind::target_failed, "the response belongs to another request"},
+        attempt.call->discard_connection();
+        this->attempt_failed({error_kind::target_failed, "the response belongs to another request",
+                              kernel::response_fault::other_request},
                              true);
         return;
     }
     const auto type = http::find_header(headers, "content-type").value_or("");
     const bool has_events = this->parsed_request.is_chat && type.starts_with("text/event-stream");
     attempt.is_error_response = status >= first_server_error;
-    if (this->relay.has_started() && (attempt.is_error_response || !has_events)) {
-        this->attempt_failed({error_kind::answer_truncated, "the stream was not resumed"}, true);
+    if (this->relay.has_started() && (status != status_ok || !has_events)) {
+        this->reject_response(kernel::response_fault::not_an_event_stream,
+                              "the stream was not resumed");
         return;
     }
     if (this->relay.has_started())
@@ -65,7 +70,7 @@
         return;
     }
     if (this->relay.exceeds_event_limit()) {
-        this->attempt_failed({error_kind::answer_truncated, "an event exceeds 1 MiB"}, true);
+        this->reject_response(kernel::response_fault::event_size, "an event exceeds 1 MiB");
         return;
     }
     if (this->caller->buffered() > high_water_bytes)
@@ -74,8 +79,8 @@
 
 void routed_request::on_done() {
     if (!this->relay.is_complete())
-        this->attempt_failed(
-            {error_kind::answer_truncated, "the stream ended without its end mark"}, true);
+        this->reject_response(kernel::response_fault::incomplete_events,
+                              "the stream ended without its end mark");
     else if (this->current_attempt->is_error_response && !this->relay.has_started())
         this->execute(this->state.on_attempt_failed(true, this->context.loop.time().now()),
                       release_result::failure);
@@ -83,6 +88,12 @@
         this->complete_response();
 }
 
+void routed_request::reject_response(kernel::response_fault fault, std::string detail) {
+    this->context.counters.response_faults.add(fault);
+    this->current_attempt->call->discard_connection();
+    this->attempt_failed({error_kind::answer_truncated, std::move(detail), fault}, true);
+}
+
 void routed_request::on_failed(const kernel::error& reason, bool maybe_sent) {
     this->attempt_failed(reason, maybe_sent);
 }
@@ -100,7 +111,9 @@
 void routed_request::attempt_failed(const kernel::error& reason, bool maybe_sent) {
     this->error_detail = reason.detail;
     this->context.events.write(kernel::severity::warning, "request.attempt_failed", this->id,
-                               {{"reason", reason.detail}, {"maybe_sent", maybe_sent}});
+                               {{"reason", reason.detail},
+                                {"fault", std::string(kernel::to_string(reason.fault))},
+                                {"maybe_sent", maybe_sent}});
     const auto now = this->context.loop.time().now();
     request::decision decision;
     if (this->relay.has_started() && !this->relay.resumable())
--- a/tests/gateway/test_gateway_parts.cpp
+++ b/tests/gateway/test_gateway_parts.cpp
@@ -80,6 +80,36 @@
     }
 }
 
+// Guards against ORDER: what another target sends is joined to a stream that it does not continue.
+TEST_CASE("event splitter: another response continues a stream only with the next event") {
+    const auto event = [](const std::string& id) { return "id: " + id + "\ndata: a\n\n"; };
+    const auto continues = [](std::string_view first, std::string_view second) {
+        gateway::event_splitter splitter;
+        splitter.append(first);
+        splitter.begin_response();
+        const std::string events(splitter.append(second));
+        CHECK(splitter.is_out_of_order() == events.empty());
+        CHECK(splitter.append("id: 1\ndata: b\n\n").empty());
+        return !events.empty();
+    };
+    CHECK(continues(event("1") + event("2"), event("3")));
+    // The target repeats the last event that it was told.
+    CHECK(continues(event("1") + event("2"), event("2") + event("3")));
+    CHECK(continues(event("1") + event("2") + "id: 3\nda", event("3")));
+    CHECK(continues(event("10") + event("15"), event("18")));
+    CHECK(continues(event("1"), ": a comment\n\n" + event("2")));
+    CHECK_FALSE(continues(event("1") + event("2"), event("1") + event("2")));
+    CHECK_FALSE(continues(event("1") + event("2"), event("4")));
+    CHECK_FALSE(continues(event("1"), event("3")));
+    CHECK_FALSE(continues(event("1"), "data: no id\n\n"));
+    CHECK_FALSE(continues(event("1"), "an error\n\nof a target\n\n"));
+    CHECK_FALSE(continues("data: no id\n\n", event("1")));
+    gateway::event_splitter resumed;
+    resumed.resume_after(7);
+    CHECK(resumed.append(event("1")).empty());
+    CHECK(resumed.is_out_of_order());
+}
+
 TEST_CASE("gateway settings: limits of memory and descriptors have defaults and bounds") {
     std::vector<kernel::error> faults;
     const auto defaults = settings::read_gateway_settings(valid_settings, faults);
--- a/tests/gateway/test_proxied_request.cpp
+++ b/tests/gateway/test_proxied_request.cpp
@@ -435,6 +435,53 @@
     CHECK(broken.response.status == 502);
 }
 
+// Guards against ORDER and MIXED: an error of the next target stands in the caller's stream, or the
+// stream ends as if it were complete.
+TEST_CASE("gateway: a stream that has begun is not continued by what does not follow its events") {
+    struct next_response {
+        int status;
+        http::header_list headers;
+        const char* body;
+    };
+    const http::header_list events{{"content-type", "text/event-stream"}};
+    for (const auto& [status, headers, body] : std::initializer_list<next_response>{
+             {500, {}, "an error\n\n"},
+             {404, events, "id: 3\ndata: c\n\n"},
+             {204, {}, ""},
+             {206, events, "id: 3\ndata: c\n\n"},
+             {200, {{"content-type", "text/html"}}, "id: 3\ndata: c\n\n"},
+             {200, {}, "id: 3\ndata: c\n\n"},
+             {200, events, ""},
+             {200, events, "id: 3\ndata: c"},
+             {200, events, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"},
+             {200, events, "id: 5\ndata: e\n\n"},
+             {200, events, "an error\n\n"},
+         }) {
+        CAPTURE(status);
+        CAPTURE(body);
+        gateway_harness harness;
+        auto& caller = harness.send("/talk/1");
+        harness.last_call().connect();
+        harness.last_call().head(200, events);
+        harness.last_call().body("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        harness.last_call().fail(true);
+        harness.process_events();
+        REQUIRE(harness.call_count() == 2);
+        auto& next = harness.last_call();
+        next.connect();
+        next.head(status, headers);
+        if (!next.is_cancelled)
+            next.body(body);
+        if (!next.is_cancelled)
+            next.listener->on_done();
+        harness.process_events();
+        CHECK(caller.response.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        CHECK(caller.response.broken);
+        CHECK_FALSE(caller.response.complete);
+        CHECK(next.is_connection_discarded);
+    }
+}
+
 // Guards against LOST: a request is begun that the end of the grace period cuts off.
 TEST_CASE("gateway: a shutting-down gateway begins no request that may outlast its grace period") {
     gateway_harness harness;
