Gateways accept from each other only what a target has sealed or a gateway says itself

A request that is passed on to another gateway was answered with whatever came back from that address, also a success that no target had sealed, or a 503 that nobody stood by. Addresses are used again, so that another program may answer. Found by reading; no caller was seen to get one.

Change: a response of another gateway is a target's, with this request's id and, for a success or a status that means "not run", the seal; or it is the gateway's own error, which states its outcome in x-outcome, and a status that means "not run" has to agree with that. All else is a failed attempt of unknown outcome.

Evidence, before: "relay: a response that no gateway or target can have sent is not passed on" fails at the first of its nine kinds, a 200 without id and seal, which the code before accepts; there the run ends, so that the other kinds were not played on it. After: all nine are rejected.

The test "relay: what the other gateway responds is passed on as it is" sent errors without x-outcome, which no gateway does. It now sends them as gateways do, and checks the same.

--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -193,6 +193,9 @@
     // belongs to this request.
     std::optional<kernel::error> check_origin(int response_status,
                                               const http::header_list& headers);
+    // Likewise for what the other gateway says itself.
+    std::optional<kernel::error> check_relay_origin(int response_status,
+                                                    const http::header_list& headers);
     // Takes over the head, or returns why the response cannot continue the stream.
     std::optional<kernel::error> accept_head(int response_status, const http::header_list& headers);
     // Whether a response echoes the id of this request.
--- a/src/gateway/proxied_request_relay.cpp
+++ b/src/gateway/proxied_request_relay.cpp
@@ -1,6 +1,8 @@
 // Requests that another gateway serves, since this one has no path or room at the targets, and
 // requests of such gateways that this one cannot serve either.
 #include "gateway/proxied_request.hpp"
+#include "gateway/response_status.hpp"
+#include "http/error_response.hpp"
 
 #include <charconv>
 
@@ -9,7 +11,9 @@
 namespace {
 
 using kernel::error_kind;
+using kernel::request_outcome;
 
+constexpr int first_client_error = 400;
 constexpr int status_unavailable = 503;
 
 std::optional<std::uint32_t> read_software(const http::header_list& headers) {
@@ -83,14 +87,10 @@
         this->on_relay_refused(*reason);
         return;
     }
-    if (http::find_header(headers, this->services.names.request_id).value_or(this->metadata.id) !=
-        this->metadata.id) {
-        this->on_broken_response(this->broken_response(
-            kernel::response_fault::other_request, "the response belongs to another request"));
-        return;
-    }
+    auto reason = this->check_relay_origin(response_status, headers);
     const bool is_new = !this->response_started;
-    const auto reason = this->accept_head(response_status, headers);
+    if (!reason)
+        reason = this->accept_head(response_status, headers);
     if (reason) {
         this->on_broken_response(*reason);
         return;
@@ -104,6 +104,21 @@
         this->stream_software = software;
 }
 
+// An error of the other gateway itself states what is known of the outcome. A status that callers
+// take for "not run" has to agree with that.
+std::optional<kernel::error> proxied_request::check_relay_origin(int response_status,
+                                                                 const http::header_list& headers) {
+    const auto outcome = http::find_header(headers, http::outcome_field);
+    const bool is_sealed = http::find_header(headers, this->services.names.seal).has_value();
+    if (!outcome || is_sealed || response_status < first_client_error)
+        return this->check_origin(response_status, headers);
+    const bool is_not_run = outcome == kernel::to_string(request_outcome::not_run);
+    if (means_not_run(response_status) && !is_not_run)
+        return this->broken_response(kernel::response_fault::no_seal,
+                                     "the gateway's status contradicts the outcome that it states");
+    return std::nullopt;
+}
+
 void proxied_request::on_relay_refused(std::string_view reason) {
     this->services.peers.on_refused(this->current_peer->name, this->service,
                                     this->services.loop.time().now());
--- a/src/http/error_response.cpp
+++ b/src/http/error_response.cpp
@@ -42,8 +42,9 @@
 
 void respond_with_error(exchange& caller, const error_response& error) {
     const auto& mapping = kernel::error_mapping_for(error.reason.kind);
-    header_list headers{{"content-type", "application/json"},
-                        {"x-outcome", std::string(kernel::to_string(error.outcome))}};
+    header_list headers{
+        {"content-type", "application/json"},
+        {std::string(outcome_field), std::string(kernel::to_string(error.outcome))}};
     if (!error.request_id.empty())
         headers.push_back({"x-request-id", error.request_id});
     if (const auto wait = retry_after_ms(error); wait > 0 || error.retry_after)
--- a/src/http/error_response.hpp
+++ b/src/http/error_response.hpp
@@ -10,6 +10,9 @@
 
 namespace samphirespool::http {
 
+// States what the caller may conclude about whether its request was executed.
+constexpr std::string_view outcome_field = "x-outcome";
+
 struct error_response {
     kernel::error reason;
     kernel::request_outcome outcome = kernel::request_outcome::not_run;
--- a/tests/gateway/test_relay.cpp
+++ b/tests/gateway/test_relay.cpp
@@ -240,7 +240,9 @@
         CAPTURE(status);
         gateway.send("/book/1");
         gateway.last_call().connect();
-        gateway.last_call().listener->on_head(status, {{"retry-after", "0.3"}});
+        gateway.last_call().listener->on_head(
+            status,
+            {{"retry-after", "0.3"}, {"x-outcome", status == 504 ? "outcome unknown" : "not run"}});
         gateway.last_call().listener->on_done();
         gateway.process_events();
         CHECK(gateway.callers.back().response.status == status);
@@ -248,6 +250,36 @@
     }
 }
 
+// Guards against MIXED and REFUSED: whoever has another gateway's address answers a request, or a
+// gateway passes on what no target has sealed.
+TEST_CASE("relay: a response that no gateway or target can have sent is not passed on") {
+    for (const auto& [status, headers] : std::initializer_list<std::pair<int, http::header_list>>{
+             {200, {}},
+             {200, {{"x-request-id", "id-1"}}},
+             {200, {{"x-seal", "seal"}}},
+             {200, {{"x-outcome", "answered"}, {"x-request-id", "id-1"}}},
+             {200, {{"x-request-id", "id-2"}, {"x-seal", "seal"}}},
+             {500, {}},
+             {503, {}},
+             {503, {{"x-request-id", "id-1"}}},
+             {503, {{"x-outcome", "outcome unknown"}}},
+         }) {
+        CAPTURE(status);
+        relay_fixture gateway;
+        gateway.set_paths(false);
+        auto& caller = gateway.send("/book/1");
+        REQUIRE(relay_fixture::is_relay(gateway.last_call()));
+        gateway.last_call().connect();
+        gateway.last_call().listener->on_head(status, headers);
+        gateway.process_events();
+        CHECK(gateway.last_call().is_connection_discarded);
+        CHECK(gateway.last_call().is_cancelled);
+        CHECK(gateway.call_count() == 1);
+        CHECK(caller.response.status == 502);
+        CHECK(gateway.events.last("request.relay_failed")->text("fault") != "none");
+    }
+}
+
 // Guards against ORDER: a stream that began through another gateway goes on at any version.
 TEST_CASE("relay: a stream is passed on by event, and is taken up at the version that began it") {
     relay_fixture gateway;
