--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -4,6 +4,7 @@
 #include "gateway/gateway.hpp"
 #include "helpers/heap.hpp"
 #include "http/event_loop.hpp"
+#include "http/intake_metrics.hpp"
 #include "platform/names.hpp"
 #include "platform/object_json.hpp"
 #include "platform/object_store.hpp"
@@ -125,6 +126,7 @@
         {"log_lines_lost_total",
          "Log lines dropped at the log's rate or buffer limit, or not written."},
         [&log] { return log->lost_lines(); });
+    http::register_response_metrics(instance.metrics(), "", "store", {&store_client.faults()});
     loop.on_terminate([&] { instance.shut_down([&loop] { loop.stop(); }); });
     loop.on_reload([&] { validate_settings_file(command.config_file, *log); });
     loop.run();
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -73,6 +73,9 @@
           archived.known);
     count("stream_origins_unknown_total",
           "Lookups of streams that the store's content could not answer.", archived.unknown);
+    http::register_response_metrics(
+        this->metric_registry, "", "targets",
+        {&this->target_client.faults(), &this->counters.response_faults});
     this->register_gauges();
     auto& first_byte = this->metric_registry.make_histogram(
         {"first_part_seconds",
--- a/src/http/intake_metrics.cpp
+++ b/src/http/intake_metrics.cpp
@@ -35,4 +35,23 @@
                           [&account] { return account.totals().evicted; });
 }
 
+void register_response_metrics(debug::metrics& metrics, const std::string& prefix,
+                               const std::string& party,
+                               std::vector<const kernel::response_fault_counts*> sources) {
+    using kernel::response_fault;
+    for (auto i = std::size_t{1}; i < static_cast<std::size_t>(response_fault::count); ++i) {
+        const auto fault = static_cast<response_fault>(i);
+        metrics.watch_counter(
+            {prefix + "broken_responses_total",
+             "Responses that were rejected as malformed, incomplete or not to the request."},
+            [sources, fault] {
+                std::uint64_t total = 0;
+                for (const auto* each : sources)
+                    total += each->of(fault);
+                return total;
+            },
+            {{"from", party}, {"fault", std::string(kernel::to_string(fault))}});
+    }
+}
+
 } // namespace samphirespool::http
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -3,6 +3,7 @@
 
 #include "admin/metric_sources.hpp"
 #include "http/descriptor_shares.hpp"
+#include "http/intake_metrics.hpp"
 #include "router/metric_sources.hpp"
 #include "settings/machine_memory.hpp"
 
@@ -105,6 +106,11 @@
     admin::register_process_metrics(result->metrics);
     register_router_metrics(result->metrics,
                             {fleet.path, fleet.shares, fleet.members, result->store});
+    http::register_response_metrics(result->metrics, "samphirespool_", "targets",
+                                    {&result->target_client.faults(),
+                                     &fleet.path.server().handler().counters().response_faults});
+    http::register_response_metrics(result->metrics, "samphirespool_", "store",
+                                    {&result->store_client.faults()});
     register_intake_metrics(result->metrics, fleet.path.server(), fleet.admin);
     fleet.configuration.start();
     result->tick();
