--- a/src/http/intake_metrics.cpp
+++ b/src/http/intake_metrics.cpp
@@ -37,7 +37,7 @@
 
 void register_response_metrics(debug::metrics& metrics, const std::string& prefix,
                                const std::string& party,
-                               std::vector<const kernel::response_fault_counts*> sources) {
+                               const std::vector<const kernel::response_fault_counts*>& sources) {
     using kernel::response_fault;
     for (auto i = std::size_t{1}; i < static_cast<std::size_t>(response_fault::count); ++i) {
         const auto fault = static_cast<response_fault>(i);
--- a/src/http/intake_metrics.hpp
+++ b/src/http/intake_metrics.hpp
@@ -24,6 +24,6 @@
 // value of a label. The counts must outlive the metrics.
 void register_response_metrics(debug::metrics& metrics, const std::string& prefix,
                                const std::string& party,
-                               std::vector<const kernel::response_fault_counts*> sources);
+                               const std::vector<const kernel::response_fault_counts*>& sources);
 
 } // namespace samphirespool::http
--- a/tests/discovery/test_feed_watch.cpp
+++ b/tests/discovery/test_feed_watch.cpp
@@ -105,6 +105,19 @@
     CHECK(fixture.feed.is_reachable());
 }
 
+// Guards against changes that are never read, since their response is too long each time.
+TEST_CASE("feed watch: a watch response that is too long is followed by a list") {
+    feed_fixture fixture;
+    fixture.complete(page_of(5, {{"a", "1"}}));
+    kernel::error too_long = unavailable;
+    too_long.fault = kernel::response_fault::body_size;
+    fixture.complete(too_long);
+    fixture.loop.advance(800ms);
+    REQUIRE(fixture.open_call() != nullptr);
+    CHECK(fixture.open_call()->method == "list");
+    CHECK(fixture.open_call()->freshness == discovery::list_freshness::current);
+}
+
 TEST_CASE("feed watch: content that nothing confirms counts as lost before any call has failed") {
     feed_fixture fixture(false);
     fixture.complete(page_of(5, {{"a", "1"}}));
--- a/tests/gateway/test_proxied_request.cpp
+++ b/tests/gateway/test_proxied_request.cpp
@@ -444,7 +444,7 @@
         const char* body;
     };
     const http::header_list events{{"content-type", "text/event-stream"}};
-    for (const auto& [status, headers, body] : std::initializer_list<next_response>{
+    for (const auto& each : std::initializer_list<next_response>{
              {500, {}, "an error\n\n"},
              {404, events, "id: 3\ndata: c\n\n"},
              {204, {}, ""},
@@ -457,8 +457,8 @@
              {200, events, "id: 5\ndata: e\n\n"},
              {200, events, "an error\n\n"},
          }) {
-        CAPTURE(status);
-        CAPTURE(body);
+        CAPTURE(each.status);
+        CAPTURE(each.body);
         gateway_harness harness;
         auto& caller = harness.send("/talk/1");
         harness.last_call().connect();
@@ -469,9 +469,9 @@
         REQUIRE(harness.call_count() == 2);
         auto& next = harness.last_call();
         next.connect();
-        next.head(status, headers);
+        next.head(each.status, each.headers);
         if (!next.is_cancelled)
-            next.body(body);
+            next.body(each.body);
         if (!next.is_cancelled)
             next.listener->on_done();
         harness.process_events();
--- a/tests/gateway/test_relay.cpp
+++ b/tests/gateway/test_relay.cpp
@@ -253,7 +253,7 @@
 // Guards against MIXED and REFUSED: whoever has another gateway's address answers a request, or a
 // gateway passes on what no target has sealed.
 TEST_CASE("relay: a response that no gateway or target can have sent is not passed on") {
-    for (const auto& [status, headers] : std::initializer_list<std::pair<int, http::header_list>>{
+    for (const auto& each : std::initializer_list<std::pair<int, http::header_list>>{
              {200, {}},
              {200, {{"x-request-id", "id-1"}}},
              {200, {{"x-seal", "seal"}}},
@@ -264,13 +264,13 @@
              {503, {{"x-request-id", "id-1"}}},
              {503, {{"x-outcome", "outcome unknown"}}},
          }) {
-        CAPTURE(status);
+        CAPTURE(each.first);
         relay_fixture gateway;
         gateway.set_paths(false);
         auto& caller = gateway.send("/book/1");
         REQUIRE(relay_fixture::is_relay(gateway.last_call()));
         gateway.last_call().connect();
-        gateway.last_call().listener->on_head(status, headers);
+        gateway.last_call().listener->on_head(each.first, each.second);
         gateway.process_events();
         CHECK(gateway.last_call().is_connection_discarded);
         CHECK(gateway.last_call().is_cancelled);
--- a/tests/http/test_heads.cpp
+++ b/tests/http/test_heads.cpp
@@ -130,7 +130,7 @@
         const char* text;
         response_fault fault;
     };
-    for (const auto& [text, fault] : {
+    for (const auto& each : {
              judged_response{"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n", response_fault::none},
              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", response_fault::none},
              {"HTTP/1.1 200 OK\r\nContent-Length: x", response_fault::none},
@@ -139,9 +139,9 @@
              {"HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\n", response_fault::framing_fields},
              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", response_fault::framing_fields},
          }) {
-        CAPTURE(text);
+        CAPTURE(each.text);
         for (const std::size_t piece : {1, 7, 1000})
-            CHECK(fault_of(text, piece) == fault);
+            CHECK(fault_of(each.text, piece) == each.fault);
     }
 }
 
@@ -151,7 +151,7 @@
         const char* text;
         response_fault fault;
     };
-    for (const auto& [text, fault] : {
+    for (const auto& each : {
              judged_response{"HTTP/1.1 000 OK\r\n", response_fault::status_line},
              {"HTTP/1.1 99 OK\r\n", response_fault::status_line},
              {"HTTP/1.1 600 OK\r\n", response_fault::status_line},
@@ -175,9 +175,9 @@
              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: y\r\n\r\n",
               response_fault::none},
          }) {
-        CAPTURE(text);
+        CAPTURE(each.text);
         for (const std::size_t piece : {1, 7, 1000})
-            CHECK(fault_of(text, piece) == fault);
+            CHECK(fault_of(each.text, piece) == each.fault);
     }
 }
 
