--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,7 +14,6 @@
 // then callers are still sent here, and a rejection would cost them a retry elsewhere.
 constexpr helpers::duration min_shutdown_time = std::chrono::milliseconds(3300);
 constexpr helpers::duration shutdown_check_interval = std::chrono::milliseconds(50);
-constexpr helpers::duration reconnect_delay = std::chrono::milliseconds(20);
 // Idle connections to targets are closed after this time; most targets keep them open for longer.
 constexpr helpers::duration pool_idle_timeout = std::chrono::milliseconds(2500);
 constexpr int status_ok = 200;
@@ -356,7 +355,7 @@
     http::error_response response;
     response.reason = {kernel::error_kind::shutting_down, "the gateway is leaving"};
     response.request_id = metadata.id;
-    response.retry_after = reconnect_delay;
+    response.retry_after = shutdown_window::reconnect_delay;
     http::respond_with_error(incoming, response);
 }
 
--- a/src/gateway/proxied_request_finish.cpp
+++ b/src/gateway/proxied_request_finish.cpp
@@ -16,7 +16,6 @@
 
 // Retry-After is at most this fraction of the time that the caller has left.
 constexpr double retry_after_fraction = 0.3;
-constexpr helpers::duration reconnect_delay = std::chrono::milliseconds(20);
 constexpr helpers::duration min_retry_after = std::chrono::milliseconds(60);
 constexpr helpers::duration max_retry_after = std::chrono::milliseconds(1500);
 // An overload lasts for seconds and callers retry once or twice, so that their retries are spread
@@ -87,9 +86,8 @@
 }
 
 helpers::duration proxied_request::retry_after(error_kind reason) const {
-    // Other gateways serve the caller at once.
     if (reason == error_kind::shutting_down)
-        return reconnect_delay;
+        return shutdown_window::reconnect_delay;
     // Spread over half of the time more, so that the first target that serves again does not get
     // all that were told so.
     if (const auto quiet = this->services.dispatch.quiet_time_left(this->service))
--- a/src/gateway/shutdown_window.hpp
+++ b/src/gateway/shutdown_window.hpp
@@ -30,6 +30,9 @@
         return this->has_begun() && this->elapsed() >= this->grace - end_margin;
     }
 
+    // Retry-After of a refused request; other gateways serve it at once.
+    static constexpr helpers::duration reconnect_delay = std::chrono::milliseconds(20);
+
 private:
     // Callers are still sent here until load balancers have removed the gateway, which takes two
     // failed checks, one each second. Those that come later keep old connections.
