During a planned stop streams are begun that end in time at the recent pace

Callers with one retry met the next stopping gateway and gave up.

Change: stream_pace keeps the slowest time for each token of output of the streams of a route over the last 30 to 60 s. A stream is also begun if it ends within the grace at that pace; without such a stream, or without a number of tokens, the time limit decides as for other requests.

--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -96,6 +96,7 @@
     gateway_counters counters;
     latency_recorders latencies;
     shutdown_window shutdown;
+    admission::stream_pace stream_paces;
     http::caller_memory& memory;
     http::descriptor_shares descriptors;
     caller_intake callers;
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "admission/memory_budget.hpp"
+#include "admission/stream_pace.hpp"
 #include "discovery/feed_watch.hpp"
 #include "exchange/stream_origins.hpp"
 #include "gateway/crash_guard.hpp"
@@ -74,6 +75,7 @@
     // Once it has begun, callers' connections are closed after the response, so that they reconnect
     // to another gateway.
     const shutdown_window& shutdown;
+    admission::stream_pace& stream_paces;
     admission::memory_budget& memory;
     const object_codec& codec;
     // Confirms that the catalog has all targets.
@@ -230,8 +232,9 @@
     bool takes_up_stream() const;
     std::string origin_key() const;
     void record_stream_origin();
-    // Whether the response comes before a shutdown ends the request.
-    bool ends_before_shutdown() const { return this->services.shutdown.admits(this->deadline); }
+    // Whether the response comes before a shutdown ends the request; of a stream, as far as the
+    // pace of recent ones tells.
+    bool ends_before_shutdown() const;
     // Until when the request may wait for a target.
     helpers::time_point queue_deadline() const;
     // The connection of the current attempt was lost, which may be the request's own doing.
--- a/src/gateway/proxied_request_finish.cpp
+++ b/src/gateway/proxied_request_finish.cpp
@@ -132,6 +132,19 @@
     this->finish(kernel::to_string(outcome), response.reason.detail);
 }
 
+bool proxied_request::ends_before_shutdown() const {
+    const auto& shutdown = this->services.shutdown;
+    if (shutdown.admits(this->deadline))
+        return true;
+    const auto now = this->services.loop.time().now();
+    const auto longest =
+        this->route->is_streaming
+            ? this->services.stream_paces.estimate(helpers::hash_name(this->route->name),
+                                                   this->metadata.prompt.output_tokens, now)
+            : std::nullopt;
+    return longest && shutdown.admits(now + *longest);
+}
+
 void proxied_request::reject_for_shutdown() {
     if (this->ticket) {
         this->refuse_relayed("the gateway is leaving");
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -303,6 +303,10 @@
     if (this->is_event_stream) {
         this->begin_response();
         this->caller->finish();
+        const auto now = this->services.loop.time().now();
+        this->services.stream_paces.record(helpers::hash_name(this->route->name),
+                                           this->metadata.prompt.output_tokens,
+                                           now - this->arrived_at, now);
     } else {
         this->first_byte_ms = this->elapsed_milliseconds();
         this->add_relay_fields();
--- a/src/gateway/shutdown_window.hpp
+++ b/src/gateway/shutdown_window.hpp
@@ -1,6 +1,6 @@
 // The grace period of a gateway that was told to stop: what it still begins, and when it ends what
-// is in progress. A request is begun only if its time limit lies within the period, so that it gets
-// its response; otherwise its caller is told at once that it has not run.
+// is in progress. A request is begun only if it ends within the period, so that it gets its
+// response; otherwise its caller is told at once that it has not run.
 #pragma once
 
 #include "kernel/clock.hpp"
--- a/tests/gateway/gateway_harness.hpp
+++ b/tests/gateway/gateway_harness.hpp
@@ -239,6 +239,7 @@
     gateway::gateway_counters counters;
     gateway::latency_recorders latencies;
     gateway::shutdown_window shutdown{this->loop.time(), std::chrono::seconds(8)};
+    admission::stream_pace stream_paces;
     admission::memory_budget memory{0};
     platform::json_object_codec codec;
     bool is_registry_reachable = true;
@@ -253,10 +254,10 @@
                                       discovery::collection::targets,
                                       {}};
     gateway::request_services services{
-        this->loop,    this->random,     this->events,    this->targets,  this->dispatch,
-        this->crashes, this->catalog,    this->origins,   this->peers,    this->tickets,
-        this->names,   this->counters,   this->latencies, this->shutdown, this->memory,
-        this->codec,   this->target_feed};
+        this->loop,    this->random,   this->events,     this->targets,  this->dispatch,
+        this->crashes, this->catalog,  this->origins,    this->peers,    this->tickets,
+        this->names,   this->counters, this->latencies,  this->shutdown, this->stream_paces,
+        this->memory,  this->codec,    this->target_feed};
     std::list<caller> callers;
     std::uint64_t sequence = 0;
 
--- a/tests/gateway/stream_fleet.hpp
+++ b/tests/gateway/stream_fleet.hpp
@@ -129,25 +129,16 @@
     gateway::header_names names;
     gateway::gateway_counters counters;
     gateway::latency_recorders latencies;
+    admission::stream_pace stream_paces;
     gateway::shutdown_window shutdown{this->loop.time(), std::chrono::seconds(8)};
     admission::memory_budget memory{0};
-    gateway::request_services services{this->loop,
-                                       this->random,
-                                       this->events,
-                                       this->targets,
-                                       this->dispatch,
-                                       this->crashes,
-                                       this->catalog,
-                                       this->origins,
-                                       this->peers,
-                                       this->tickets,
-                                       this->names,
-                                       this->counters,
-                                       this->latencies,
-                                       this->shutdown,
-                                       this->memory,
-                                       this->codec,
-                                       this->fleet.targets_watch()};
+    gateway::request_services services{
+        this->loop,      this->random,   this->events,
+        this->targets,   this->dispatch, this->crashes,
+        this->catalog,   this->origins,  this->peers,
+        this->tickets,   this->names,    this->counters,
+        this->latencies, this->shutdown, this->stream_paces,
+        this->memory,    this->codec,    this->fleet.targets_watch()};
     std::list<caller> callers;
     std::uint64_t sequence = 0;
 };
--- a/tests/gateway/test_proxied_request.cpp
+++ b/tests/gateway/test_proxied_request.cpp
@@ -500,6 +500,27 @@
     CHECK(harness.call_count() == 1);
 }
 
+// Guards against streams that are refused during a shutdown although they would have ended in time.
+TEST_CASE("gateway: a shutting-down gateway begins streams that end in time at the recent pace") {
+    gateway_harness harness;
+    const auto stream = [&](const std::string& tokens) -> tests::gateway_harness::caller& {
+        return harness.send("/talk/1", {{"x-deadline-ms", "10000"}, {"x-tokens", "10," + tokens}});
+    };
+    stream("100");
+    harness.last_call().connect();
+    harness.last_call().head(200);
+    harness.last_call().body("id: 1\ndata: a\n\n");
+    harness.advance(1s);
+    harness.last_call().listener->on_done();
+    harness.process_events();
+    harness.shutdown.begin();
+    CHECK(stream("900").response.status == 503);
+    CHECK(stream("0").response.status == 503);
+    CHECK(harness.call_count() == 1);
+    stream("700");
+    CHECK(harness.call_count() == 2);
+}
+
 // Guards against LOST: a request that has waited in the queue is begun when the time is too short.
 TEST_CASE(
     "gateway: a request that was taken before the shutdown is not begun if it may outlast it") {
