Gateways: the process ends well before the end of the grace period

Callers that were still sending a body kept a stopping gateway until 50 ms before the end of the grace, and with the interval of its check until that end, where the platform kills it. Seen in test_late_in_grace.py: 7.99 and 8.00 s of 8.

Cause: the limit of the wait was the interval of the check. Change: the wait ends 150 ms before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,8 @@
 // then callers are still sent here, and a rejection would cost them a retry elsewhere.
 constexpr helpers::duration min_shutdown_time = std::chrono::milliseconds(3300);
 constexpr helpers::duration shutdown_check_interval = std::chrono::milliseconds(50);
+// End of the grace period by which the process has ended, also if callers are still sending.
+constexpr helpers::duration exit_margin = std::chrono::milliseconds(150);
 // Idle connections to targets are closed after this time; most targets keep them open for longer.
 constexpr helpers::duration pool_idle_timeout = std::chrono::milliseconds(2500);
 constexpr int status_ok = 200;
@@ -394,8 +396,7 @@
     this->shutdown_timer = 0;
     const bool has_unanswered =
         this->caller_server->has_unanswered() || this->relay_server->has_unanswered();
-    if (has_unanswered &&
-        this->shutdown.elapsed() < this->settings.shutdown_grace - shutdown_check_interval) {
+    if (has_unanswered && this->shutdown.elapsed() < this->settings.shutdown_grace - exit_margin) {
         this->shutdown_timer =
             this->loop.schedule(shutdown_check_interval, [this] { this->finish_shutdown(); });
         return;
