--- a/tests/process/standins/site.py
+++ b/tests/process/standins/site.py
@@ -291,3 +291,18 @@
         os._exit(code)
 
     asyncio.run(guarded())
+
+
+def run_checks(folder, checks):
+    """Runs each `check(site)`, which returns a list of faults, on a site of its own. Prints the faults and does not
+    return."""
+    async def guarded(check):
+        site = Site(folder)
+        try:
+            return await check(site)
+        finally:
+            site.close()
+
+    faults = [fault for check in checks for fault in asyncio.run(guarded(check))]
+    print("\n".join(faults), flush=True)
+    os._exit(1 if faults else 0)
--- a/tests/process/test_endless_answers.py
+++ b/tests/process/test_endless_answers.py
@@ -156,16 +156,5 @@
     return True
 
 
-async def main():
-    site = sites.Site(FOLDER)
-    try:
-        return await run(site)
-    finally:
-        site.close()
-
-
 if __name__ == "__main__":
-    faults = asyncio.run(main())
-    for fault in faults:
-        print(fault)
-    os._exit(1 if faults else 0)
+    sites.run_checks(FOLDER, [run])
--- a/tests/process/test_late_in_grace.py
+++ b/tests/process/test_late_in_grace.py
@@ -167,20 +167,6 @@
     return found
 
 
-async def main():
-    found = []
-    # Bodies at once, and over two seconds.
-    for pace in (None, (1000, 0.1)):
-        site = sites.Site(FOLDER)
-        try:
-            found += await play(site, pace)
-        finally:
-            site.close()
-    return found
-
-
 if __name__ == "__main__":
-    faults = asyncio.run(main())
-    for fault in faults:
-        print(fault)
-    os._exit(1 if faults else 0)
+    # Bodies at once, and over two seconds.
+    sites.run_checks(FOLDER, [lambda site: play(site, None), lambda site: play(site, (1000, 0.1))])
--- a/tests/process/test_resumed_streams.py
+++ b/tests/process/test_resumed_streams.py
@@ -187,16 +187,5 @@
     return found
 
 
-async def main():
-    site = sites.Site(FOLDER)
-    try:
-        return await run(site)
-    finally:
-        site.close()
-
-
 if __name__ == "__main__":
-    faults = asyncio.run(main())
-    for fault in faults:
-        print(fault)
-    os._exit(1 if faults else 0)
+    sites.run_checks(FOLDER, [run])
