Tests: malformed answers to the calls that gateways make for themselves

Cause: the store, its watches and the reports of targets were among the other readers without a test of theirs.

--- a/tests/process/standins/store.py
+++ b/tests/process/standins/store.py
@@ -22,6 +22,9 @@
         self.era = 1
         # Bytes that follow the head of each response, in place of a body; None while the store is sound.
         self.bytes_without_end = None
+        # Forms of the answers in turn, as in broken_answers; None while they are sound.
+        self.forms = None
+        self.malformed_answers = 0
         # Kinds whose calls of gateways get no response; None stands for all kinds.
         self.silent = set()
         self.changed = asyncio.Condition()
@@ -86,6 +89,11 @@
                 status, content = await self.execute(method, path, query, body)
                 fields = {"content-type": "application/json", "content-length": len(content),
                           "store-era": self.era}
+                if self.forms is not None:
+                    self.malformed_answers += 1
+                    writer.write(next(self.forms)(b"", content))
+                    await writer.drain()
+                    return
                 writer.write(http.message(f"HTTP/1.1 {status} -", fields, content))
                 await writer.drain()
         except (http.BrokenMessage, OSError, asyncio.CancelledError):
--- a/tests/process/standins/workers.py
+++ b/tests/process/standins/workers.py
@@ -34,6 +34,9 @@
         # async handler(worker, line, fields, reader, writer), called before the body is read; returns False to
         # close the connection, None to go on as usual.
         self.early_handler = None
+        # async handler(worker, line, fields, reader, writer) of requests for the worker's own report; returns False
+        # to close the connection, None to answer as usual.
+        self.report_handler = None
         # Called with the attempt of each request that arrives, those that it turns away included.
         self.on_arrival = None
 
@@ -85,6 +88,9 @@
                     writer.write(http.message(f"HTTP/1.1 {status} -", {
                         "x-instance-id": self.name, "x-cold-ms": self.cold_ms, "content-length": 0}))
                     continue
+                if self.report_handler is not None and line.startswith("GET /report "):
+                    if await self.report_handler(self, line, fields, reader, writer) is False:
+                        return
                 if line.startswith("GET /report "):
                     text = json.dumps({"stage": "prefill_decode", "born": self.born}).encode()
                     writer.write(http.message("HTTP/1.1 200 OK", {
