Routers drop a rejected response at once, so that none of it joins a stream

Callers of routers whose stream had broken off found the text of the next answer in it, and the stream ended as if it were complete: an error of any status that came with its body, a page, an answer to another request.

Cause: a rejected response ended the attempt, but the stream is resumed at the same target, so that its call lived on until the next one replaced it. h2o had the body already, and passed it to the relay, and its end to the request, within the same read. The status was judged, and had no effect.

Change: attempt_failed destroys the call before anything else. No callback of it runs any more.

--- a/src/router/routed_request_response.cpp
+++ b/src/router/routed_request_response.cpp
@@ -109,6 +109,8 @@
 }
 
 void routed_request::attempt_failed(const kernel::error& reason, bool maybe_sent) {
+    // A stream is resumed later, and no byte that follows in this response may join it.
+    this->current_attempt->call.reset();
     this->error_detail = reason.detail;
     this->context.events.write(kernel::severity::warning, "request.attempt_failed", this->id,
                                {{"reason", reason.detail},
