--- a/tests/process/standins/site.py
+++ b/tests/process/standins/site.py
@@ -23,6 +23,8 @@
 HOST = "shop.example"
 KEY = "key-of-tenant-1"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# Requests that are sent until one reaches a target.
+MAX_TRIES = 40
 # As on the sheets of the small sites.
 BOUNDS = {"graceS": 8, "retryBudgetRatio": 0.2, "retryBudgetBurst": 54, "budgetWindowS": 10, "coldOverage": 1.5,
           "coldSlack": 5, "configMs": 2000, "drainMs": 2000, "stabilityWindowMs": 3000}
@@ -293,6 +295,17 @@
     asyncio.run(guarded())
 
 
+async def send_until_taken(case, send):
+    """Sends requests until one of them reaches the party that plays the case, which sets `case.attempt`. Targets that
+    have failed get fewer requests for a while. Returns the last answer."""
+    for _ in range(MAX_TRIES):
+        answer = await send()
+        if answer.attempt == case.attempt:
+            break
+        await asyncio.sleep(float(answer.fields.get("retry-after", 0.02)))
+    return answer
+
+
 def run_checks(folder, checks):
     """Runs each `check(site)`, which returns a list of faults, on a site of its own. Prints the faults and does not
     return."""
--- a/tests/process/test_broken_answers.py
+++ b/tests/process/test_broken_answers.py
@@ -10,6 +10,7 @@
 import itertools
 import os
 import random
+import re
 import sys
 
 sys.dont_write_bytecode = True
@@ -26,10 +27,12 @@
 DEADLINE_MS = 5000
 # A piece of the answer, and the pause behind it; one piece is the whole answer.
 PIECES = {"whole": (1 << 20, 0), "in pieces": (5, 0.001)}
-# Requests of a case until one reaches a worker, on a connection as the case needs it.
-MAX_TRIES = 40
 # A connection that carries no further request is closed by then.
 CLOSE_SECONDS = 2.0
+METRICS_PORT = 9464
+# The log is written at least so often.
+LOG_SECONDS = 0.5
+FAULTS = ("status_line", "field_line", "framing_fields", "chunk", "trailer")
 STREAM = b"id: 1\ndata: of the worker\n\nid: 2\ndata: of the worker\n\n"
 
 
@@ -123,15 +126,25 @@
 
 
 async def play(caller, case):
-    for _ in range(MAX_TRIES):
-        answer = await caller.send(case.path)
-        if answer.attempt == case.attempt:
-            break
-        # Targets that have failed get fewer requests for a while.
-        await asyncio.sleep(float(answer.fields.get("retry-after", 0)))
+    answer = await sites.send_until_taken(case, lambda: caller.send(case.path))
     return [f"{case.name}: {fault}; status {answer.status}, {answer.result}" for fault in faults_of(case, answer)]
 
 
+async def unreported_faults(site, gateway):
+    """Kinds of malformed answers that the gateway's log or its metrics do not name."""
+    reader, writer = await asyncio.open_connection(gateway.ip, METRICS_PORT)
+    writer.write(http.message("GET /metrics HTTP/1.1", {"Host": "metrics", "Connection": "close"}))
+    metrics = (await reader.read()).decode()
+    writer.close()
+    with open(os.path.join(site.folder, f"{gateway.name}.{gateway.starts}.log"), encoding="utf-8") as log:
+        text = log.read()
+    counted = [fault for fault in FAULTS if re.search(
+        rf'^broken_responses_total{{[^}}]*fault="{fault}"[^}}]*}} [1-9]', metrics, re.M)]
+    logged = [fault for fault in FAULTS if f'"fault":"{fault}"' in text]
+    return [f"the fault {fault} is not in the {where}" for where, known in (("metrics", counted), ("log", logged))
+            for fault in FAULTS if fault not in known]
+
+
 def make_cases():
     numbers = itertools.count(1)
     forms = {**broken_answers.HEADS, **broken_answers.BODIES, **broken_answers.ANSWERS}
@@ -167,7 +180,9 @@
         if (answer.status, answer.body) != (200, body_of(kind)):
             found.append(f"{kind}: an ordinary request got {answer.status}, {answer.result}")
     if not gateway.running():
-        found.append("the gateway has ended")
+        return [*found, "the gateway has ended"]
+    await asyncio.sleep(LOG_SECONDS)
+    found += await unreported_faults(site, gateway)
     print(f"{len(cases)} answers, {len(found)} faults")
     return found
 
--- a/tests/process/test_broken_peer_answers.py
+++ b/tests/process/test_broken_peer_answers.py
@@ -28,7 +28,6 @@
 PEERS = 60
 AT_ONCE = 6
 DEADLINE_MS = 5000
-MAX_TRIES = 40
 MEMBER_SECONDS = 0.5
 BODY = {"streaming": events(1, EVENTS)}
 STATUS = {status: b"HTTP/1.1 %d -" % status for status in (200, 408, 421, 429, 500, 503)}
@@ -173,11 +172,7 @@
 
 
 async def play(site, gateway, case):
-    for _ in range(MAX_TRIES):
-        answer = await site.send(gateway, case.path, DEADLINE_MS, b"a request")
-        if answer.attempt == case.attempt:
-            break
-        await asyncio.sleep(float(answer.fields.get("retry-after", 0.05)))
+    answer = await sites.send_until_taken(case, lambda: site.send(gateway, case.path, DEADLINE_MS, b"a request"))
     fault = fault_of(case, answer)
     return [f"{case.name}: {fault}; status {answer.status}, {answer.result}"] if fault else []
 
--- a/tests/process/test_reset_uploads.py
+++ b/tests/process/test_reset_uploads.py
@@ -27,7 +27,6 @@
 WORKERS = 6
 DEADLINE_MS = 5000
 REPETITIONS = 5
-MAX_TRIES = 40
 PAUSE_SECONDS = 0.05
 PART = b"id: 1\ndata: SPOILED\n\nid: 2\ndata: SPOILED\n\n"
 
@@ -108,11 +107,7 @@
 
 
 async def play(site, gateway, case):
-    for _ in range(MAX_TRIES):
-        answer = await site.send(gateway, case.path, DEADLINE_MS, b"u" * case.upload)
-        if answer.attempt == case.attempt:
-            break
-        await asyncio.sleep(float(answer.fields.get("retry-after", 0.05)))
+    answer = await sites.send_until_taken(case, lambda: site.send(gateway, case.path, DEADLINE_MS, b"u" * case.upload))
     fault = fault_of(case, answer)
     return [f"{case.name}: {fault}; status {answer.status}, {answer.result}"] if fault else []
 
--- a/tests/process/test_resumed_streams.py
+++ b/tests/process/test_resumed_streams.py
@@ -26,7 +26,6 @@
 WORKERS = 90
 AT_ONCE = 8
 DEADLINE_MS = 6000
-MAX_TRIES = 40
 ROUTES = ("resumable", "single")
 
 
@@ -53,11 +52,7 @@
 
 
 async def play(site, gateway, case):
-    for _ in range(MAX_TRIES):
-        answer = await site.send(gateway, case.path, DEADLINE_MS, b"a request")
-        if answer.attempt == case.attempt:
-            break
-        await asyncio.sleep(float(answer.fields.get("retry-after", 0.05)))
+    answer = await sites.send_until_taken(case, lambda: site.send(gateway, case.path, DEADLINE_MS, b"a request"))
     fault = fault_of(case, answer)
     return [f"{case.name}: {fault}; status {answer.status}, {answer.result}"] if fault else []
 
