--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# The stand-ins of cases 11 to 14 are Python programs, which need no build: checks that they can be loaded.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=tests/process:review/support-3 python3 -c "
+import partition
+from standins import http, site, store, workers"
