--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The stand-ins of cases 11 to 14 are Python programs, which need no build: checks that they can be loaded.
+# The stand-ins of the cases are Python programs, which need no build: checks that they can be loaded.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=tests/process:review/support-3 python3 -c "
