--- a/review/11/case.py
+++ b/review/11/case.py
@@ -27,7 +27,7 @@
 FIRST_EVENT_SECONDS = 2.0
 EVENTS, EVENT_SECONDS = 20, 0.05
 WORKERS, GATEWAYS, CLIENTS_EACH = 6, 3, 8
-CALM_SECONDS, CUT_SECONDS = 6.0, 14.0
+CALM_SECONDS, CUT_SECONDS = 6.0, 12.0
 # Of the rule: failures that it allows at the partitioned machine, and the least part of the others' share.
 ALLOWED_FAILURES, ALLOWED_FAILURE_SHARE = 10, 1 / 50
 LEAST_PART = 2 / 3
